Build the thin path from caller through entry to target

Cause: the project needs a whole path that runs as real processes before its parts can be worked out and measured.

--- /dev/null
+++ b/src/Frame.h
@@ -0,0 +1,95 @@
+/// @file Length-bounded frames of the protocol between our own processes.
+#pragma once
+
+#include "Result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Camphor {
+
+/// Version of the wire protocol. A peer with another version is refused.
+inline constexpr std::uint16_t WireVersion = 1;
+
+/// Kinds of messages. Numbers are part of the wire format and are never reused.
+enum class MessageKind : std::uint16_t {
+    Hello = 1,
+    // Entry to entry.
+    PlaceTask = 10,
+    CancelTask = 11,
+    PullTasks = 12,
+    OwnerHandover = 13,
+    RunningQuery = 14,
+    // Entry to ledger.
+    Claim = 20,
+    Finish = 21,
+    Query = 22,
+    LedgerStatus = 23,
+    // Ledger to ledger.
+    Replicate = 30,
+    Catchup = 31,
+    LeaseRenew = 32,
+    // Control to control.
+    PreVote = 40,
+    Vote = 41,
+    AppendEntries = 42,
+    InstallSnapshot = 43,
+    // Entry, ledger or operator tool to control.
+    Subscribe = 50,
+    Apply = 51,
+    CompareAndSet = 52,
+    ReadReplicaSet = 53,
+    ControlStatus = 54,
+    History = 55,
+    MoveBucket = 56,
+};
+
+/// Whether a frame asks, answers or refuses.
+enum class FrameType : std::uint16_t { Request = 0, Reply = 1, Refusal = 2 };
+
+/// Bytes of a frame's header: magic (4), payload length (4), correlation id (8), kind (2), type
+/// (2).
+inline constexpr std::size_t FrameHeaderBytes = 20;
+
+/// Default bound on a frame's payload.
+inline constexpr std::size_t DefaultMaxFrameBytes = std::size_t{16} * 1024 * 1024;
+
+/// The header of a frame.
+struct FrameHeader
+{
+    std::uint32_t payloadBytes = 0;
+    std::uint64_t correlation = 0; ///< Joins a reply to its request on one connection.
+    MessageKind kind = MessageKind::Hello;
+    FrameType type = FrameType::Request;
+
+    auto operator<=>(const FrameHeader &) const = default;
+};
+
+/// The bytes of a whole frame. The header's payloadBytes is set from the payload.
+[[nodiscard]] std::string encodeFrame(FrameHeader header, std::string_view payload);
+
+/// Decodes a header of FrameHeaderBytes bytes; an error for a wrong magic, an unknown type or a
+/// payload above the bound.
+[[nodiscard]] Result<FrameHeader> decodeFrameHeader(std::string_view bytes,
+                                                    std::size_t maxPayloadBytes);
+
+/// Who opened a connection. It is the first frame on every connection.
+struct Hello
+{
+    std::uint16_t version = WireVersion;
+    std::string cluster;
+    std::string instance;
+    std::uint64_t incarnation = 0; ///< Grows with each restart of the instance.
+
+    auto operator<=>(const Hello &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, cluster, instance, incarnation);
+    }
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/src/Http.h
@@ -0,0 +1,52 @@
+/// @file Plain HTTP messages, independent of the HTTP library.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Camphor {
+
+/// Header fields by lower-case name.
+using HttpHeaders = std::map<std::string, std::string, std::less<>>;
+
+/// Content type of error answers (RFC 7807).
+inline constexpr const char *ProblemContentType = "application/problem+json";
+
+/// A request as a server receives it or a client sends it.
+struct HttpRequest
+{
+    std::string method;
+    std::string target; ///< Path and query.
+    HttpHeaders headers;
+    std::string body;
+
+    /// The value of a header (lower-case name), or an empty string.
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+    /// The path without the query.
+    [[nodiscard]] std::string_view path() const;
+
+    auto operator<=>(const HttpRequest &) const = default;
+};
+
+/// A whole response; partial ones are never represented.
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+
+    [[nodiscard]] std::string_view header(std::string_view name) const;
+
+    auto operator<=>(const HttpResponse &) const = default;
+};
+
+/// A response with a content type.
+[[nodiscard]] HttpResponse makeResponse(int status, std::string contentType, std::string body);
+
+/// Splits a path into its segments: "/v1/jobs/7" gives {"v1", "jobs", "7"}, percent-decoded.
+[[nodiscard]] std::vector<std::string> splitPath(std::string_view path);
+
+} // namespace Camphor
--- /dev/null
+++ b/src/HttpClient.cpp
@@ -0,0 +1,376 @@
+#include "HttpClient.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace Camphor {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+using ErrorCodeAsio = boost::system::error_code;
+
+std::chrono::microseconds toChrono(Milliseconds duration)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
+}
+
+std::string lowerCase(Beast::string_view text)
+{
+    std::string lower(text.data(), text.size());
+    std::ranges::transform(lower, lower.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return lower;
+}
+
+class Connection;
+
+/// Idle connections by address.
+class Pool
+{
+public:
+    explicit Pool(const HttpClientSettings &clientSettings)
+        : settings(clientSettings)
+    {
+    }
+
+    std::shared_ptr<Connection> take(const Address &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &idle = m_idle[address];
+        if (idle.empty())
+            return nullptr;
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        return connection;
+    }
+
+    /// False when the pool is full and the connection should be closed.
+    bool put(const Address &address, const std::shared_ptr<Connection> &connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto &idle = m_idle[address];
+        if (m_isClosed || idle.size() >= settings.maxIdlePerAddress)
+            return false;
+        idle.push_back(connection);
+        return true;
+    }
+
+    /// True when the connection was idle and is now out of the pool.
+    bool remove(const Address &address, const std::shared_ptr<Connection> &connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::erase(m_idle[address], connection) > 0;
+    }
+
+    std::vector<std::shared_ptr<Connection>> takeAll()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isClosed = true;
+        std::vector<std::shared_ptr<Connection>> all;
+        for (auto &[address, idle] : m_idle)
+            std::ranges::move(idle, std::back_inserter(all));
+        m_idle.clear();
+        return all;
+    }
+
+    const HttpClientSettings settings;
+    std::atomic<std::uint64_t> strayAnswers = 0;
+    std::atomic<std::size_t> open = 0;
+
+private:
+    std::mutex m_mutex;
+    bool m_isClosed = false;
+    std::map<Address, std::vector<std::shared_ptr<Connection>>> m_idle;
+};
+
+/// One connection with at most one request at a time. All of its steps run on its strand.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(Asio::io_context &io, Address address, std::shared_ptr<Pool> pool)
+        : m_stream(Asio::make_strand(io))
+        , m_address(std::move(address))
+        , m_pool(std::move(pool))
+    {
+        m_pool->open.fetch_add(1);
+    }
+    ~Connection() { m_pool->open.fetch_sub(1); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void send(HttpRequest request, Milliseconds timeout, HttpCallback callback)
+    {
+        Asio::post(m_stream.get_executor(),
+                   [self = shared_from_this(), request = std::move(request), timeout,
+                    callback = std::move(callback)]() mutable {
+                       self->begin(std::move(request), timeout, std::move(callback));
+                   });
+    }
+
+    void close()
+    {
+        Asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+    }
+
+private:
+    void begin(HttpRequest request, Milliseconds timeout, HttpCallback callback)
+    {
+        m_callback = std::move(callback);
+        m_timeout = timeout;
+        m_bytesWritten = false;
+        prepare(std::move(request));
+        if (m_isConnected && m_isWatching) {
+            // The watch for stray input must end before the answer is read. Its handler goes on.
+            m_startAfterWatch = true;
+            ErrorCodeAsio ignored;
+            m_stream.socket().cancel(ignored);
+        } else if (m_isConnected) {
+            write();
+        } else {
+            connect();
+        }
+    }
+
+    void prepare(HttpRequest request)
+    {
+        m_request = {};
+        m_request.version(11);
+        m_request.method_string(request.method);
+        m_request.target(request.target);
+        m_request.set(Http::field::host, m_address.toString());
+        for (const auto &[name, value] : request.headers)
+            m_request.set(name, value);
+        m_request.body() = std::move(request.body);
+        m_request.prepare_payload();
+    }
+
+    void connect()
+    {
+        ErrorCodeAsio ec;
+        const auto ip = Asio::ip::make_address(m_address.host, ec);
+        if (ec) {
+            fail(ErrorCode::ConnectionRefused, "invalid address " + m_address.toString(), false);
+            return;
+        }
+        m_stream.expires_after(toChrono(std::min(m_timeout, m_pool->settings.connectTimeout)));
+        m_stream.async_connect(
+            Tcp::endpoint(ip, m_address.port),
+            [self = shared_from_this()](ErrorCodeAsio result) { self->onConnect(result); });
+    }
+
+    void onConnect(ErrorCodeAsio ec)
+    {
+        if (ec) {
+            fail(ErrorCode::ConnectionRefused, "connect failed: " + ec.message(), false);
+            return;
+        }
+        m_isConnected = true;
+        ErrorCodeAsio ignored;
+        m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+        write();
+    }
+
+    void write()
+    {
+        m_stream.expires_after(toChrono(m_timeout));
+        m_bytesWritten = true;
+        Http::async_write(
+            m_stream, m_request,
+            [self = shared_from_this()](ErrorCodeAsio ec, std::size_t) { self->onWritten(ec); });
+    }
+
+    void onWritten(ErrorCodeAsio ec)
+    {
+        if (ec) {
+            failTransfer(ec);
+            return;
+        }
+        m_parser.emplace();
+        m_parser->body_limit(m_pool->settings.maxBodyBytes);
+        Http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](ErrorCodeAsio result, std::size_t) {
+                             self->onRead(result);
+                         });
+    }
+
+    void onRead(ErrorCodeAsio ec)
+    {
+        if (ec) {
+            failTransfer(ec);
+            return;
+        }
+        // Without a length the end of the connection would end the body, and a truncated body
+        // could not be told from a whole one.
+        const bool hasLength = m_parser->content_length().has_value() || m_parser->chunked();
+        auto message = m_parser->release();
+        if (!hasLength && message.result() != Http::status::no_content) {
+            fail(ErrorCode::InvalidMessage, "response without a length", true);
+            return;
+        }
+        HttpResponse response;
+        response.status = static_cast<int>(message.result_int());
+        for (const auto &field : message)
+            response.headers[lowerCase(field.name_string())] = std::string(field.value());
+        response.body = std::move(message.body());
+        const bool keepAlive = message.keep_alive() && !hasStrayInput();
+        finish(std::move(response), keepAlive);
+    }
+
+    bool hasStrayInput()
+    {
+        if (m_buffer.size() == 0)
+            return false;
+        m_pool->strayAnswers.fetch_add(1);
+        return true;
+    }
+
+    void finish(HttpResponse response, bool keepAlive)
+    {
+        m_stream.expires_never();
+        auto callback = std::exchange(m_callback, nullptr);
+        if (keepAlive && m_pool->put(m_address, shared_from_this()))
+            watchIdle();
+        else
+            closeNow();
+        callback(std::move(response));
+    }
+
+    /// Waits for input on an idle connection: either its end, or an answer that nobody asked for.
+    void watchIdle()
+    {
+        m_isWatching = true;
+        m_stream.expires_after(toChrono(m_pool->settings.idleTimeout));
+        m_stream.async_read_some(m_buffer.prepare(1),
+                                 [self = shared_from_this()](ErrorCodeAsio ec, std::size_t n) {
+                                     self->onIdleInput(ec, n);
+                                 });
+    }
+
+    void onIdleInput(ErrorCodeAsio ec, std::size_t n)
+    {
+        m_isWatching = false;
+        if (n > 0)
+            m_pool->strayAnswers.fetch_add(1);
+        const bool canStart = m_startAfterWatch && ec == Asio::error::operation_aborted && n == 0;
+        if (std::exchange(m_startAfterWatch, false)) {
+            if (canStart) {
+                write();
+                return;
+            }
+            // The connection ended while it was idle, so nothing was sent: use a new one.
+            reconnect();
+            return;
+        }
+        m_pool->remove(m_address, shared_from_this());
+        // A request may have taken the connection from the pool in this instant. It finds the
+        // connection closed and opens a new one.
+        closeNow();
+    }
+
+    void reconnect()
+    {
+        closeNow();
+        m_buffer.clear();
+        connect();
+    }
+
+    void failTransfer(ErrorCodeAsio ec)
+    {
+        if (ec == Beast::error::timeout)
+            fail(ErrorCode::Timeout, "no answer in time", m_bytesWritten);
+        else if (ec == Http::error::body_limit)
+            fail(ErrorCode::TooLarge, "response body too large", true);
+        else if (ec == Http::error::partial_message)
+            fail(ErrorCode::InvalidMessage, "response was truncated", true);
+        else
+            fail(ErrorCode::ConnectionLost, "connection lost: " + ec.message(), m_bytesWritten);
+    }
+
+    void fail(ErrorCode code, std::string message, bool maybeSent)
+    {
+        closeNow();
+        auto callback = std::exchange(m_callback, nullptr);
+        callback(HttpFailure{Error{code, std::move(message)}, maybeSent});
+    }
+
+    void closeNow()
+    {
+        m_isConnected = false;
+        ErrorCodeAsio ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    Beast::tcp_stream m_stream;
+    Beast::flat_buffer m_buffer;
+    Http::request<Http::string_body> m_request;
+    std::optional<Http::response_parser<Http::string_body>> m_parser;
+    Address m_address;
+    std::shared_ptr<Pool> m_pool;
+    HttpCallback m_callback;
+    Milliseconds m_timeout;
+    bool m_isConnected = false;
+    bool m_isWatching = false;
+    bool m_startAfterWatch = false;
+    bool m_bytesWritten = false;
+};
+
+class PooledHttpClient : public HttpClient
+{
+public:
+    PooledHttpClient(Asio::io_context &io, const HttpClientSettings &settings)
+        : m_io(io)
+        , m_pool(std::make_shared<Pool>(settings))
+    {
+    }
+
+    void send(const Address &address, HttpRequest request, Milliseconds timeout,
+              HttpCallback callback) override
+    {
+        auto connection = m_pool->take(address);
+        if (!connection)
+            connection = std::make_shared<Connection>(m_io, address, m_pool);
+        connection->send(std::move(request), timeout, std::move(callback));
+    }
+
+    [[nodiscard]] std::uint64_t strayAnswers() const override { return m_pool->strayAnswers; }
+    [[nodiscard]] std::size_t openConnections() const override { return m_pool->open; }
+
+    void closeIdle() override
+    {
+        for (const auto &connection : m_pool->takeAll())
+            connection->close();
+    }
+
+private:
+    Asio::io_context &m_io;
+    std::shared_ptr<Pool> m_pool;
+};
+
+} // namespace
+
+std::shared_ptr<HttpClient> HttpClient::make(boost::asio::io_context &io,
+                                             const HttpClientSettings &settings)
+{
+    return std::make_shared<PooledHttpClient>(io, settings);
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,389 @@
+#include "HttpServer.h"
+
+#include <utility>
+
+#include "Log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <set>
+
+namespace Camphor {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using Tcp = Asio::ip::tcp;
+using ErrorCodeAsio = boost::system::error_code;
+
+std::chrono::microseconds toChrono(Milliseconds duration)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
+}
+
+std::string lowerCase(Beast::string_view text)
+{
+    std::string lower(text.data(), text.size());
+    std::ranges::transform(lower, lower.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return lower;
+}
+
+HttpResponse makeLimitProblem(int status, const std::string &reason)
+{
+    return makeResponse(status, ProblemContentType,
+                        R"({"outcome":"not-run","reason":")" + reason + R"(","started":0})");
+}
+
+class Session;
+
+/// The open sessions, so that a drain can reach them.
+class SessionSet
+{
+public:
+    void add(const std::shared_ptr<Session> &session)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.insert(session);
+    }
+    void remove(const std::shared_ptr<Session> &session)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.erase(session);
+    }
+    [[nodiscard]] std::size_t size() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sessions.size();
+    }
+    [[nodiscard]] std::set<std::shared_ptr<Session>> copy() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sessions;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::set<std::shared_ptr<Session>> m_sessions;
+};
+
+/// What sessions share. It outlives the server object while a session is open.
+struct ServerState
+{
+    HttpServerSettings settings;
+    HttpHandler handler;
+    SessionSet sessions;
+    std::atomic<bool> draining = false;
+    std::atomic<std::size_t> inFlight = 0;
+};
+
+/// One connection. All of its steps run on its strand.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(Tcp::socket socket, std::shared_ptr<ServerState> state)
+        : m_stream(std::move(socket))
+        , m_state(std::move(state))
+    {
+    }
+
+    void start()
+    {
+        Asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->readNext(); });
+    }
+
+    void closeIfIdle()
+    {
+        Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (self->m_isIdle)
+                self->close();
+        });
+    }
+
+private:
+    void readNext()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_state->settings.maxHeaderBytes));
+        m_parser->body_limit(m_state->settings.maxBodyBytes);
+        if (m_buffer.size() > 0) {
+            readRequest();
+            return;
+        }
+        m_isIdle = true;
+        m_stream.expires_after(toChrono(m_state->settings.idleTimeout));
+        m_stream.async_read_some(
+            m_buffer.prepare(ReadBytes),
+            [self = shared_from_this()](ErrorCodeAsio ec, std::size_t n) { self->onFirst(ec, n); });
+    }
+
+    void onFirst(ErrorCodeAsio ec, std::size_t n)
+    {
+        m_isIdle = false;
+        if (ec) {
+            close();
+            return;
+        }
+        m_buffer.commit(n);
+        readRequest();
+    }
+
+    void readRequest()
+    {
+        m_stream.expires_after(toChrono(m_state->settings.readTimeout));
+        Http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](ErrorCodeAsio ec, std::size_t) { self->onRequest(ec); });
+    }
+
+    void onRequest(ErrorCodeAsio ec)
+    {
+        m_stream.expires_never();
+        if (ec) {
+            refuse(ec);
+            return;
+        }
+        auto message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers[lowerCase(field.name_string())] = std::string(field.value());
+        request.body = std::move(message.body());
+        m_state->inFlight.fetch_add(1);
+        m_state->handler(std::move(request), makeRespond());
+    }
+
+    HttpRespond makeRespond()
+    {
+        auto answered = std::make_shared<std::atomic<bool>>(false);
+        return [self = shared_from_this(), answered](HttpResponse response) {
+            if (answered->exchange(true))
+                return;
+            Asio::post(self->m_stream.get_executor(),
+                       [self, response = std::move(response)]() mutable {
+                           self->write(std::move(response), true);
+                       });
+        };
+    }
+
+    void refuse(ErrorCodeAsio ec)
+    {
+        m_keepAlive = false;
+        const bool isParserError =
+            ec.category() == Http::make_error_code(Http::error::bad_method).category();
+        const bool isEnded = ec == Http::error::end_of_stream || ec == Http::error::partial_message;
+        if (!isParserError || isEnded)
+            close();
+        else if (ec == Http::error::body_limit)
+            write(makeLimitProblem(413, "body-too-large"), false);
+        else if (ec == Http::error::header_limit || ec == Http::error::buffer_overflow)
+            write(makeLimitProblem(431, "header-too-large"), false);
+        else
+            write(makeLimitProblem(400, "malformed-http"), false);
+    }
+
+    void write(HttpResponse response, bool counted)
+    {
+        m_response.emplace();
+        m_response->version(11);
+        m_response->result(static_cast<unsigned>(response.status));
+        for (const auto &[name, value] : response.headers)
+            m_response->set(name, value);
+        const bool keepAlive = m_keepAlive && !m_state->draining.load();
+        m_response->keep_alive(keepAlive);
+        m_response->body() = std::move(response.body);
+        m_response->prepare_payload();
+        m_stream.expires_after(toChrono(m_state->settings.writeTimeout));
+        Http::async_write(
+            m_stream, *m_response,
+            [self = shared_from_this(), keepAlive, counted](ErrorCodeAsio ec, std::size_t) {
+                self->onWritten(ec, keepAlive, counted);
+            });
+    }
+
+    void onWritten(ErrorCodeAsio ec, bool keepAlive, bool counted)
+    {
+        if (counted)
+            m_state->inFlight.fetch_sub(1);
+        m_stream.expires_never();
+        if (ec) {
+            close();
+        } else if (keepAlive) {
+            readNext();
+        } else {
+            lingeringClose();
+        }
+    }
+
+    /// Ends the sending side first and reads until the peer closes. Closing at once could reset
+    /// the connection and destroy an answer that the peer has not read yet.
+    void lingeringClose()
+    {
+        ErrorCodeAsio ignored;
+        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        m_stream.expires_after(LingerTime);
+        discardInput();
+    }
+
+    void discardInput()
+    {
+        m_buffer.clear();
+        m_stream.async_read_some(m_buffer.prepare(ReadBytes),
+                                 [self = shared_from_this()](ErrorCodeAsio ec, std::size_t) {
+                                     if (ec)
+                                         self->close();
+                                     else
+                                         self->discardInput();
+                                 });
+    }
+
+    void close()
+    {
+        ErrorCodeAsio ignored;
+        m_stream.socket().close(ignored);
+        m_state->sessions.remove(shared_from_this());
+    }
+
+    static constexpr std::size_t ReadBytes = 8192;
+    static constexpr std::chrono::seconds LingerTime{2};
+
+    Beast::tcp_stream m_stream;
+    Beast::flat_buffer m_buffer;
+    std::optional<Http::request_parser<Http::string_body>> m_parser;
+    std::optional<Http::response<Http::string_body>> m_response;
+    std::shared_ptr<ServerState> m_state;
+    bool m_keepAlive = false;
+    bool m_isIdle = false;
+};
+
+class BeastHttpServer : public HttpServer, public std::enable_shared_from_this<BeastHttpServer>
+{
+public:
+    BeastHttpServer(Asio::io_context &io, const HttpServerSettings &settings, HttpHandler handler)
+        : m_io(io)
+        , m_acceptor(Asio::make_strand(io))
+        , m_retryTimer(m_acceptor.get_executor())
+        , m_state(std::make_shared<ServerState>())
+    {
+        m_state->settings = settings;
+        m_state->handler = std::move(handler);
+    }
+
+    Status listen()
+    {
+        const auto &listen = m_state->settings.listen;
+        ErrorCodeAsio ec;
+        const auto ip = Asio::ip::make_address(listen.host, ec);
+        const Tcp::endpoint endpoint(ip, listen.port);
+        if (!ec)
+            m_acceptor.open(endpoint.protocol(), ec);
+        if (!ec)
+            m_acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
+        if (!ec)
+            m_acceptor.bind(endpoint, ec);
+        if (!ec)
+            m_acceptor.listen(Asio::socket_base::max_listen_connections, ec);
+        if (ec) {
+            return Error{ErrorCode::Unavailable,
+                         "cannot listen on " + listen.toString() + ": " + ec.message()
+                             + ". Fix: choose a free address"};
+        }
+        m_port = m_acceptor.local_endpoint().port();
+        return okStatus();
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept(Asio::make_strand(m_io),
+                                [self = shared_from_this()](ErrorCodeAsio ec, Tcp::socket socket) {
+                                    self->onAccept(ec, std::move(socket));
+                                });
+    }
+
+    [[nodiscard]] std::uint16_t port() const override { return m_port; }
+    [[nodiscard]] std::size_t requestsInFlight() const override { return m_state->inFlight.load(); }
+    [[nodiscard]] std::size_t connections() const override { return m_state->sessions.size(); }
+
+    void startDrain() override { m_state->draining = true; }
+
+    void stopAccepting() override
+    {
+        Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            ErrorCodeAsio ignored;
+            self->m_acceptor.close(ignored);
+            self->m_retryTimer.cancel();
+        });
+    }
+
+    void closeIdleConnections() override
+    {
+        for (const auto &session : m_state->sessions.copy())
+            session->closeIfIdle();
+    }
+
+private:
+    void onAccept(ErrorCodeAsio ec, Tcp::socket socket)
+    {
+        if (!m_acceptor.is_open())
+            return;
+        if (ec) {
+            // Out of file descriptors is the usual cause, so trying again at once would spin.
+            Log::warning("accept-failed").kv("error", ec.message());
+            m_retryTimer.expires_after(AcceptRetry);
+            m_retryTimer.async_wait([self = shared_from_this()](ErrorCodeAsio) {
+                if (self->m_acceptor.is_open())
+                    self->accept();
+            });
+            return;
+        }
+        if (m_state->sessions.size() < m_state->settings.maxConnections) {
+            ErrorCodeAsio ignored;
+            socket.set_option(Tcp::no_delay(true), ignored);
+            auto session = std::make_shared<Session>(std::move(socket), m_state);
+            m_state->sessions.add(session);
+            session->start();
+        } else {
+            Log::warning("connection-refused").kv("reason", "too-many-connections");
+        }
+        accept();
+    }
+
+    static constexpr std::chrono::milliseconds AcceptRetry{50};
+
+    Asio::io_context &m_io;
+    Tcp::acceptor m_acceptor;
+    Asio::steady_timer m_retryTimer;
+    std::shared_ptr<ServerState> m_state;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+Result<std::shared_ptr<HttpServer>> HttpServer::make(boost::asio::io_context &io,
+                                                     const HttpServerSettings &settings,
+                                                     HttpHandler handler)
+{
+    auto server = std::make_shared<BeastHttpServer>(io, settings, std::move(handler));
+    if (const auto status = server->listen(); !status)
+        return status.error();
+    server->accept();
+    return std::shared_ptr<HttpServer>(std::move(server));
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/Ids.h
@@ -0,0 +1,11 @@
+/// @file Random identifiers.
+#pragma once
+
+#include <string>
+
+namespace Camphor {
+
+/// A random 128-bit identifier as 32 lower-case hexadecimal digits. Thread-safe.
+[[nodiscard]] std::string makeRandomId();
+
+} // namespace Camphor
--- /dev/null
+++ b/src/Log.h
@@ -0,0 +1,75 @@
+/// @file Structured log lines over Boost.Log, one line an event, as key=value pairs or as JSON.
+#pragma once
+
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Camphor {
+
+/// Severity of a log line.
+enum class LogLevel { Debug, Decision, Info, Warning, Error };
+
+/// How log lines are written.
+struct LogSettings
+{
+    LogLevel minimum = LogLevel::Decision;
+    bool json = false;
+    /// Most decision lines a second; 0 means no limit. Other levels are never limited.
+    std::uint32_t decisionsPerSecond = 0;
+
+    auto operator<=>(const LogSettings &) const = default;
+};
+
+/// Parses "debug", "decision", "info", "warning" or "error"; false if it is none of them.
+[[nodiscard]] bool parseLogLevel(std::string_view text, LogLevel &level);
+
+/// Starts writing to standard error. Call once, before the first line.
+void startLog(const LogSettings &settings);
+
+/// Writes out all lines that are still buffered and stops the writer thread.
+void stopLog();
+
+/// One log line. It is written when the object ends.
+class LogLine
+{
+public:
+    LogLine(LogLevel level, std::string_view event);
+    ~LogLine();
+    LogLine(const LogLine &) = delete;
+    LogLine &operator=(const LogLine &) = delete;
+
+    /// Adds a field. The value is anything that can be written to a stream.
+    template <typename T>
+    LogLine &kv(std::string_view key, const T &value)
+    {
+        if (!m_enabled)
+            return *this;
+        std::ostringstream text;
+        text << value;
+        m_fields.emplace_back(key, std::move(text).str());
+        return *this;
+    }
+    LogLine &kv(std::string_view key, const std::string &value);
+    LogLine &kv(std::string_view key, const char *value);
+
+private:
+    LogLevel m_level;
+    bool m_enabled;
+    std::string m_event;
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+namespace Log {
+inline LogLine debug(std::string_view event) { return {LogLevel::Debug, event}; }
+/// A line for one routing or placement decision.
+inline LogLine decision(std::string_view event) { return {LogLevel::Decision, event}; }
+inline LogLine info(std::string_view event) { return {LogLevel::Info, event}; }
+inline LogLine warning(std::string_view event) { return {LogLevel::Warning, event}; }
+inline LogLine error(std::string_view event) { return {LogLevel::Error, event}; }
+} // namespace Log
+
+} // namespace Camphor
--- /dev/null
+++ b/src/RpcClient.h
@@ -0,0 +1,55 @@
+/// @file Sends requests to one of our own processes over TCP.
+#pragma once
+
+#include "Frame.h"
+#include "Result.h"
+#include "RpcServer.h"
+#include "Settings.h"
+#include "Time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace Camphor {
+
+/// Why a request has no reply.
+struct RpcFailure
+{
+    Error error;
+    /// False only if it is certain that the peer has not received the request.
+    bool maybeSent = true;
+
+    auto operator<=>(const RpcFailure &) const = default;
+};
+
+/// A reply's payload, or why there is none.
+using RpcResult = std::variant<std::string, RpcFailure>;
+
+using RpcCallback = std::function<void(RpcResult)>;
+
+/// A client for one address. It connects when it is first used and again after a loss. A request
+/// is written at most once.
+class RpcClient
+{
+public:
+    [[nodiscard]] static std::shared_ptr<RpcClient>
+    make(boost::asio::io_context &io, const Address &address, const RpcSettings &settings);
+
+    virtual ~RpcClient() = default;
+
+    /// The callback is called exactly once, on a thread of the io_context. A refusal of the peer
+    /// is a failure with maybeSent true.
+    virtual void call(MessageKind kind, std::string payload, Milliseconds timeout,
+                      RpcCallback callback) = 0;
+    /// Closes the connection and fails all calls that wait. Later calls fail at once.
+    virtual void stop() = 0;
+    [[nodiscard]] virtual const Address &address() const = 0;
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/src/RpcServer.h
@@ -0,0 +1,59 @@
+/// @file Answers requests of our own processes over TCP.
+#pragma once
+
+#include "Frame.h"
+#include "Result.h"
+#include "Settings.h"
+#include "Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace Camphor {
+
+/// Limits and identity of one end of the protocol between our processes.
+struct RpcSettings
+{
+    std::string cluster;
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    std::size_t maxFrameBytes = DefaultMaxFrameBytes;
+    std::size_t maxConnections = 256;
+    Milliseconds connectTimeout{500};
+    Milliseconds helloTimeout{2'000}; ///< Longest wait for a peer's first frame.
+
+    auto operator<=>(const RpcSettings &) const = default;
+};
+
+/// Sends the reply to one request. May be called once, from any thread.
+using RpcReply = std::function<void(Result<std::string>)>;
+
+/// Handles one request of a peer; may reply later. An Error becomes a refusal frame.
+using RpcHandler =
+    std::function<void(const Hello &peer, MessageKind kind, std::string payload, RpcReply reply)>;
+
+/// The server. A peer with a wrong version, cluster or frame is logged, counted and cut off.
+class RpcServer
+{
+public:
+    [[nodiscard]] static Result<std::shared_ptr<RpcServer>> make(boost::asio::io_context &io,
+                                                                 const Address &listen,
+                                                                 const RpcSettings &settings,
+                                                                 RpcHandler handler);
+
+    virtual ~RpcServer() = default;
+
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+    /// Connections that were cut off because of invalid input.
+    [[nodiscard]] virtual std::uint64_t refusedPeers() const = 0;
+    /// Stops accepting and closes all connections.
+    virtual void stop() = 0;
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/test/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/correctness/WireTest.cpp
@@ -0,0 +1,43 @@
+#include "Wire.h"
+#include "Frame.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+
+TEST_CASE("a message survives encoding and decoding", "[wire]")
+{
+    const Hello hello{WireVersion, "shop", "entry-1", 7};
+    const auto decoded = decodeMessage<Hello>(encodeMessage(hello));
+    REQUIRE(decoded.isOk());
+    CHECK(decoded.value() == hello);
+}
+
+// Guards against a forged length that makes the decoder allocate before it checks.
+TEST_CASE("a forged string length is refused", "[wire]")
+{
+    auto bytes = encodeMessage(std::string("abc"));
+    bytes[3] = '\x7f';
+    CHECK_FALSE(decodeMessage<std::string>(bytes).isOk());
+}
+
+// Guards against a vector that is sized from a forged count.
+TEST_CASE("a forged element count is refused", "[wire]")
+{
+    auto bytes = encodeMessage(std::vector<std::string>{"a", "b"});
+    bytes[2] = '\x7f';
+    CHECK_FALSE(decodeMessage<std::vector<std::string>>(bytes).isOk());
+}
+
+TEST_CASE("trailing bytes are refused", "[wire]")
+{
+    CHECK_FALSE(decodeMessage<std::string>(encodeMessage(std::string("abc")) + "x").isOk());
+}
+
+TEST_CASE("a frame header above the bound is refused", "[wire]")
+{
+    const auto frame = encodeFrame({0, 1, MessageKind::Claim, FrameType::Request}, "payload");
+    const auto header = frame.substr(0, FrameHeaderBytes);
+    CHECK(decodeFrameHeader(header, 7).isOk());
+    CHECK_FALSE(decodeFrameHeader(header, 6).isOk());
+}
