Parse and validate whole declarations

Cause: only services were read; teams, failure domains, ledgers and retention could not be declared, and references between items were not checked. Change: Declaration::parse reads everything of docs/design.md section 1.3, and DeclarationValidator checks names, duplicates, references, cycles of required dependencies and limits that cannot be met. SettingsNode refuses a key that is there twice (yaml-cpp keeps both and reads the first).

--- a/src/Declaration.cpp
+++ b/src/Declaration.cpp
@@ -1,13 +1,25 @@
 #include "Declaration.h"
 
+#include "DeclarationValidator.h"
+
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace Camphor {
 
 namespace {
 
 constexpr double MaxDurationMs = 86'400'000.0;
+constexpr double MaxShare = 1e6;
+
+/// Bound on a declaration's text, well below the limits of a frame and of an HTTP body.
+constexpr std::size_t MaxDeclarationBytes = std::size_t{4} * 1024 * 1024;
+
+Milliseconds duration(SettingsNode &node, std::string_view key, Milliseconds fallback, double min)
+{
+    return Milliseconds{node.number(key, fallback.count(), min, MaxDurationMs)};
+}
 
 Urgency urgencyOf(SettingsNode &node)
 {
@@ -31,20 +43,102 @@
     service.name = node.string("name");
     service.pool = node.string("pool", defaults.pool);
     service.dependsOn = parseDependencies(node);
-    service.share = node.number("share", defaults.share, 0.001, 1e6);
-    service.runTime =
-        Milliseconds{node.number("runTimeMs", defaults.runTime.count(), 0.1, MaxDurationMs)};
-    service.deadline =
-        Milliseconds{node.number("deadlineMs", defaults.deadline.count(), 1, MaxDurationMs)};
+    service.share = node.number("share", defaults.share, 0.001, MaxShare);
+    service.runTime = duration(node, "runTimeMs", defaults.runTime, 0.1);
+    service.deadline = duration(node, "deadlineMs", defaults.deadline, 1);
     service.isRepeatable = node.boolean("repeatable", defaults.isRepeatable);
     service.urgency = urgencyOf(node);
     service.maxTasksPerJob = node.integer("maxTasksPerJob", defaults.maxTasksPerJob, 1, 65536);
-    service.maxQueueTime = Milliseconds{
-        node.number("maxQueueTimeMs", defaults.maxQueueTime.count(), 1, MaxDurationMs)};
+    // A queue bound above the deadline has no effect, so only an explicit one is an error.
+    service.maxQueueTime =
+        duration(node, "maxQueueTimeMs", std::min(defaults.maxQueueTime, service.deadline), 1);
     node.checkNoUnknownKeys();
     return service;
 }
 
+TeamDeclaration parseTeam(SettingsNode &node)
+{
+    const TeamDeclaration defaults;
+    TeamDeclaration team;
+    team.name = node.string("name");
+    team.share = node.number("share", defaults.share, 0.001, MaxShare);
+    team.quotaSlots = node.integer("quotaSlots", defaults.quotaSlots, 0, 1'000'000);
+    node.checkNoUnknownKeys();
+    return team;
+}
+
+FailureDomainDeclaration parseDomain(SettingsNode &node)
+{
+    FailureDomainDeclaration domain;
+    domain.name = node.string("name");
+    domain.oneWayDelay = duration(node, "oneWayDelayMs", domain.oneWayDelay, 0);
+    node.checkNoUnknownKeys();
+    return domain;
+}
+
+LedgerDeclaration parseLedger(SettingsNode &node)
+{
+    LedgerDeclaration ledger;
+    ledger.instance = node.string("instance");
+    ledger.domain = node.string("domain");
+    const auto text = node.string("address");
+    const auto address = Address::parse(text);
+    if (!address) {
+        throw UserError(node.errorAt("address", "'" + text + "' is not an address",
+                                     "write IP:PORT, such as 10.1.0.11:7400"));
+    }
+    ledger.address = address.value();
+    node.checkNoUnknownKeys();
+    return ledger;
+}
+
+RetentionDeclaration parseRetention(SettingsNode &node)
+{
+    const RetentionDeclaration defaults;
+    RetentionDeclaration retention;
+    retention.claimWindow = duration(node, "claimMs", defaults.claimWindow, 1'000);
+    retention.answerWindow =
+        duration(node, "answerMs", std::min(defaults.answerWindow, retention.claimWindow), 0);
+    retention.maxAnswerBytes = node.integer("maxAnswerBytes", defaults.maxAnswerBytes, 0, 1L << 40);
+    retention.maxClaims = node.integer("maxClaims", defaults.maxClaims, 1, 1'000'000'000);
+    node.checkNoUnknownKeys();
+    return retention;
+}
+
+/// Parses the items of a list and keeps the place of each.
+template <typename T>
+std::vector<Located<T>> parseList(SettingsNode &root, std::string_view key,
+                                  T (*parseItem)(SettingsNode &))
+{
+    std::vector<Located<T>> items;
+    for (auto &node : root.list(key)) {
+        auto value = parseItem(node);
+        items.push_back({std::move(value), node});
+    }
+    return items;
+}
+
+template <typename T>
+std::vector<T> valuesOf(const std::vector<Located<T>> &items)
+{
+    std::vector<T> values;
+    std::ranges::transform(items, std::back_inserter(values), &Located<T>::value);
+    return values;
+}
+
+DeclarationParts parseParts(SettingsNode &root)
+{
+    auto services = parseList(root, "services", parseService);
+    auto teams = parseList(root, "teams", parseTeam);
+    auto domains = parseList(root, "domains", parseDomain);
+    auto ledgers = parseList(root, "ledgers", parseLedger);
+    auto node = root.child("retention");
+    auto retention = parseRetention(node);
+    root.checkNoUnknownKeys();
+    return {std::move(services), std::move(teams),  std::move(domains),
+            std::move(ledgers),  {retention, node}, root};
+}
+
 } // namespace
 
 const char *urgencyName(Urgency urgency)
@@ -70,15 +164,24 @@
 
 Result<Declaration> Declaration::parse(const std::string &name, const std::string &text)
 {
+    if (text.size() > MaxDeclarationBytes) {
+        return Error{ErrorCode::InvalidDeclaration,
+                     name + ": the text has more than " + std::to_string(MaxDeclarationBytes)
+                         + " bytes. Fix: remove comments or split the deployment"};
+    }
     auto document = SettingsNode::parse(name, text);
     if (!document)
         return Error{ErrorCode::InvalidDeclaration, document.error().message};
     try {
         auto root = std::move(document).value();
+        const auto parts = parseParts(root);
+        DeclarationValidator::check(parts);
         Declaration declaration;
-        for (auto &node : root.list("services"))
-            declaration.m_services.push_back(parseService(node));
-        root.checkNoUnknownKeys();
+        declaration.m_services = valuesOf(parts.services);
+        declaration.m_teams = valuesOf(parts.teams);
+        declaration.m_domains = valuesOf(parts.domains);
+        declaration.m_ledgers = valuesOf(parts.ledgers);
+        declaration.m_retention = parts.retention.value;
         return declaration;
     } catch (const UserError &e) {
         return Error{ErrorCode::InvalidDeclaration, e.error().message};
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -36,6 +36,12 @@
     , m_node(std::move(node))
     , m_read(std::make_shared<std::set<std::string>>())
 {
+    // yaml-cpp keeps both of two equal keys and reads the first one.
+    std::set<std::string> seen;
+    for (const auto &key : keys()) {
+        if (!seen.insert(key).second)
+            throw UserError(errorAt(key, "the key is there twice", "remove one of the two"));
+    }
 }
 
 Result<SettingsNode> SettingsNode::parse(const std::string &name, const std::string &text)
@@ -47,6 +53,8 @@
                          name + ":1:1: expected a mapping of keys. Fix: write 'key: value' lines"};
         }
         return SettingsNode{std::make_shared<const std::string>(name), "", std::move(node)};
+    } catch (const UserError &e) {
+        return e.error();
     } catch (const YAML::Exception &e) {
         return Error{ErrorCode::InvalidSettings,
                      place(name, e.mark) + ": " + e.msg + ". Fix: correct the YAML syntax"};
