Break ownership cycles of idle HTTP connections

Cause: the client's pool and its idle connections own each other, and so do the server's shared state and its open sessions.

Change: the destructors of the client and of the server release these sets. Requests in flight keep their connection until they end.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -341,6 +341,10 @@
         , m_pool(std::make_shared<Pool>(settings))
     {
     }
+    /// The pool and its idle connections own each other, so neither would ever be freed.
+    ~PooledHttpClient() override { (void)m_pool->takeAll(); }
+    PooledHttpClient(const PooledHttpClient &) = delete;
+    PooledHttpClient &operator=(const PooledHttpClient &) = delete;
 
     void send(const Address &address, HttpRequest request, Milliseconds timeout,
               HttpCallback callback) override
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -75,6 +75,11 @@
         const std::lock_guard lock(m_mutex);
         return m_sessions;
     }
+    [[nodiscard]] std::set<std::shared_ptr<Session>> takeAll()
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::exchange(m_sessions, {});
+    }
 
 private:
     mutable std::mutex m_mutex;
@@ -285,6 +290,11 @@
         m_state->handler = std::move(handler);
     }
 
+    /// The shared state and the open sessions own each other, so neither would ever be freed.
+    ~BeastHttpServer() override { (void)m_state->sessions.takeAll(); }
+    BeastHttpServer(const BeastHttpServer &) = delete;
+    BeastHttpServer &operator=(const BeastHttpServer &) = delete;
+
     Status listen()
     {
         const auto &listen = m_state->settings.listen;
