Serve many stand-in targets with faults from one process

Cause: the thin camphortarget echoed one input from one target. Load runs need a fleet with slots, true run times, start logs and faults.

Change: camphortarget serves N targets on consecutive ports, announces them with heartbeats, follows the owner that an answer names and tries the other entries when one does not answer. A task sleeps for its stated run time and gets an answer with its id and a checksum. Starts are appended to a log. The whole-path test uses the new flags; its check is unchanged, because an input that is no task is still echoed.

--- a/programs/camphortarget.cpp
+++ b/programs/camphortarget.cpp
@@ -1,61 +1,102 @@
-/// @file camphortarget: stand-in for targets. One process serves one target and announces it.
+/// @file camphortarget: stand-in for targets. One process serves many targets and announces them.
 #include "CommandLine.h"
-#include "HttpClient.h"
 #include "HttpServer.h"
 #include "Log.h"
+#include "OptionValues.h"
 #include "ProcessRunner.h"
+#include "StandInTarget.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
-#include <iostream>
-
 namespace {
 
 using namespace Camphor;
 
-constexpr std::chrono::seconds HeartbeatPeriod{1};
+const CommandLineSpec Spec{
+    "camphortarget",
+    "Stand-in for targets: sleeps for the run time that a task states and answers, or injects "
+    "faults.",
+    "--entries IP:PORT,... --services NAME,... [options]",
+    {{"listen", "IP:PORT", "Address of the first target; the others use the next ports."},
+     {"targets", "N", "Number of targets (1)."},
+     {"slots", "N", "Slots of each target (8)."},
+     {"rack-size", "N", "Targets in a rack (8)."},
+     {"domain", "NAME", "Failure domain."},
+     {"worker-prefix", "TEXT", "Start of the target ids."},
+     {"entries", "IP:PORT,...", "Entries of the domain to announce to."},
+     {"services", "NAME,...", "Services that every target offers."},
+     {"start-log", "FILE", "Gets one JSON line for each real start of a task."},
+     {"faults", "LIST",
+      "Faults as NAME=FRACTION[:PROBABILITY],... with NAME fail, straggle, truncate, stall, "
+      "reset, answer-twice, answer-late or leave."},
+     {"fault-seed", "N", "Seed for the choice of targets and tasks (1)."},
+     {"late-ms", "MS", "Delay of the fault answer-late (2000)."},
+     {"network-delay-ms", "MS", "Added one-way delay between entry and target (0)."},
+     {"admin", "IP:PORT", "Serves GET /v1/stats and PUT /v1/faults (body as for --faults)."}}};
+
+StandInFleetSettings readSettings(const CommandLine &line)
+{
+    const OptionValues values(line);
+    StandInFleetSettings settings;
+    settings.listen = values.address("listen", "127.0.0.1:0");
+    settings.targets = static_cast<int>(values.integer("targets", 1, 1, 5'000));
+    settings.slots = static_cast<int>(values.integer("slots", 8, 1, 10'000));
+    settings.rackSize = static_cast<int>(values.integer("rack-size", 8, 1, 10'000));
+    settings.domain = line.value("domain", settings.domain);
+    settings.workerPrefix = line.value("worker-prefix", settings.workerPrefix);
+    settings.services = values.list("services");
+    settings.entries = values.addresses("entries");
+    settings.startLogPath = line.value("start-log");
+    settings.faults = line.value("faults");
+    settings.faultSeed = static_cast<std::uint64_t>(values.integer("fault-seed", 1, 0, 1L << 62));
+    settings.lateBy = Milliseconds{values.number("late-ms", 2'000, 0, 600'000)};
+    settings.oneWayDelay = Milliseconds{values.number("network-delay-ms", 0, 0, 10'000)};
+    return settings;
+}
 
-void announce(const std::shared_ptr<HttpClient> &client, const Address &entry,
-              const Address &target, const std::string &service, int slots)
+HttpResponse administer(StandInFleet &fleet, const HttpRequest &request)
 {
-    HttpRequest request;
-    request.method = "PUT";
-    request.target = "/v1/targets/" + target.toString();
-    request.body = nlohmann::json{{"address", target.toString()},
-                                  {"services", {{service, slots}}},
-                                  {"state", "serving"}}
-                       .dump();
-    client->send(entry, std::move(request), Milliseconds{1000}, [](const HttpResult &) { });
+    if (request.method == "PUT" && request.path() == "/v1/faults") {
+        const auto status = fleet.setFaults(request.body);
+        Log::info("faults-set").kv("faults", request.body).kv("accepted", status.isOk());
+        return status ? makeResponse(200, "text/plain", "")
+                      : makeResponse(400, "text/plain", status.error().message + "\n");
+    }
+    if (request.method == "GET" && request.path() == "/v1/stats") {
+        const auto counters = fleet.counters();
+        return makeResponse(200, "application/json",
+                            nlohmann::json{{"starts", counters.starts},
+                                           {"refused", counters.refused},
+                                           {"stopped", counters.stopped},
+                                           {"faults", counters.faults},
+                                           {"running", fleet.running()}}
+                                .dump());
+    }
+    return makeResponse(404, "text/plain", "no such path\n");
 }
 
 int run(const CommandLine &line)
 {
-    const auto entry = Address::parse(line.value("entry")).value();
-    const auto service = line.value("service", "echo");
-    boost::asio::io_context io;
-    HttpServerSettings settings;
-    settings.listen = Address::parse(line.value("listen", "127.0.0.1:0")).value();
-    const auto server =
-        HttpServer::make(io, settings, [](HttpRequest request, const HttpRespond &respond) {
-            respond(makeResponse(200, "application/octet-stream", std::move(request.body)));
-        }).value();
-    const Address own{settings.listen.host, server->port()};
-    const auto client = HttpClient::make(io, {});
-    boost::asio::steady_timer timer(io);
-    std::function<void()> beat = [&] {
-        announce(client, entry, own, service, 8);
-        timer.expires_after(HeartbeatPeriod);
-        timer.async_wait([&](const boost::system::error_code &ec) {
-            if (!ec)
-                beat();
-        });
-    };
-    beat();
-    runUntilDrained(io, 1, [&] { io.stop(); });
+    boost::asio::io_context io(1);
+    const auto fleet = StandInFleet::make(io, readSettings(line)).value();
+    std::shared_ptr<HttpServer> admin;
+    if (line.has("admin")) {
+        HttpServerSettings settings;
+        settings.listen = OptionValues(line).address("admin", "");
+        admin = HttpServer::make(io, settings,
+                                 [&](const HttpRequest &request, const HttpRespond &respond) {
+                                     respond(administer(*fleet, request));
+                                 })
+                    .value();
+    }
+    Log::info("serving")
+        .kv("first", fleet->addresses().front().toString())
+        .kv("targets", fleet->addresses().size());
+    runUntilDrained(io, 1, [&] { fleet->startDrain(); });
+    const auto counters = fleet->counters();
+    Log::info("stopped").kv("starts", counters.starts).kv("refused", counters.refused);
     return 0;
 }
 
@@ -64,13 +105,7 @@
 int main(int argc, char **argv)
 {
     return runProgram("camphortarget", [&] {
-        const CommandLineSpec spec{"camphortarget",
-                                   "Stand-in target that answers every task with its input.",
-                                   "--entry IP:PORT [options]",
-                                   {{"entry", "IP:PORT", "Entry to announce to."},
-                                    {"listen", "IP:PORT", "Address to serve on."},
-                                    {"service", "NAME", "Service to offer."}}};
-        const auto line = parseCommandLine(spec, argc, argv);
+        const auto line = parseCommandLine(Spec, argc, argv);
         startLog({});
         return run(line);
     });
--- /dev/null
+++ b/src/StandInTask.cpp
@@ -0,0 +1,73 @@
+#include "StandInTask.h"
+
+#include <nlohmann/json.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <type_traits>
+
+namespace Camphor {
+
+namespace {
+
+std::string checksumOf(const std::string &id, const std::string &filling)
+{
+    const auto text = id + "/" + filling;
+    return std::to_string(XXH64(text.data(), text.size(), 0));
+}
+
+template <typename T>
+T fieldOr(const nlohmann::json &json, const char *name, T fallback)
+{
+    const auto it = json.find(name);
+    if (it == json.end())
+        return fallback;
+    if constexpr (std::is_same_v<T, std::string>)
+        return it->is_string() ? it->template get<std::string>() : fallback;
+    else
+        return it->is_number() ? it->template get<T>() : fallback;
+}
+
+} // namespace
+
+std::string encodeTask(const StandInTask &task)
+{
+    return nlohmann::json{
+        {"id", task.id}, {"runMs", task.runTime.count()}, {"answerBytes", task.answerBytes}}
+        .dump();
+}
+
+StandInTask decodeTask(std::string_view input)
+{
+    const auto json = nlohmann::json::parse(input, nullptr, false);
+    if (!json.is_object())
+        return {};
+    return {fieldOr<std::string>(json, "id", {}), Milliseconds{fieldOr(json, "runMs", 0.0)},
+            static_cast<std::size_t>(std::clamp(fieldOr(json, "answerBytes", 0.0), 0.0,
+                                                static_cast<double>(MaxAnswerBytes)))};
+}
+
+std::string makeAnswer(const StandInTask &task, std::string_view input)
+{
+    if (task.id.empty())
+        return std::string(input);
+    const std::string filling(task.answerBytes, 'x');
+    return nlohmann::json{
+        {"id", task.id}, {"filling", filling}, {"checksum", checksumOf(task.id, filling)}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+AnswerCheck checkAnswer(const StandInTask &task, std::string_view answer)
+{
+    const auto json = nlohmann::json::parse(answer, nullptr, false);
+    if (!json.is_object())
+        return AnswerCheck::Partial;
+    const auto id = fieldOr<std::string>(json, "id", {});
+    const auto filling = fieldOr<std::string>(json, "filling", {});
+    if (id != task.id || fieldOr<std::string>(json, "checksum", {}) != checksumOf(id, filling))
+        return AnswerCheck::Wrong;
+    return filling.size() == task.answerBytes ? AnswerCheck::Whole : AnswerCheck::Partial;
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/TargetAnnouncer.h
@@ -0,0 +1,40 @@
+/// @file Heartbeats of one stand-in target to the entries of its failure domain.
+#pragma once
+
+#include "HttpClient.h"
+#include "Settings.h"
+#include "Time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace Camphor {
+
+/// Announces a target once in each heartbeat interval. It follows the owner that an answer names
+/// and goes on to the next entry when one does not answer. Runs on one thread.
+class TargetAnnouncer
+{
+public:
+    /// Makes the announcement's body when it is sent.
+    using BodySource = std::function<std::string()>;
+
+    [[nodiscard]] static std::shared_ptr<TargetAnnouncer>
+    make(boost::asio::io_context &io, std::shared_ptr<HttpClient> client,
+         const std::string &targetId, std::vector<Address> entries, BodySource body);
+
+    virtual ~TargetAnnouncer() = default;
+
+    /// Announces at once instead of at the next interval, for example after a change of state.
+    virtual void announceNow() = 0;
+    /// Sends DELETE to the current owner and stops. @param onDone is called after the answer or
+    /// a failure.
+    virtual void leave(std::function<void()> onDone) = 0;
+};
+
+} // namespace Camphor
--- a/test/correctness/WholePathTest.cpp
+++ b/test/correctness/WholePathTest.cpp
@@ -12,7 +12,8 @@
     const Address entry{"127.0.0.1", freePort()};
     const TestProcess entryProcess("camphorspindle-entry", {"--listen", entry.toString()},
                                    (folder.path() / "entry.log").string());
-    const TestProcess targetProcess("camphortarget", {"--entry", entry.toString()},
+    const TestProcess targetProcess("camphortarget",
+                                    {"--entries", entry.toString(), "--services", "echo"},
                                     (folder.path() / "target.log").string());
     HttpRequest request;
     request.method = "POST";
