--- a/src/TargetAnnouncer.cpp
+++ b/src/TargetAnnouncer.cpp
@@ -143,7 +143,7 @@
 
 std::shared_ptr<TargetAnnouncer>
 TargetAnnouncer::make(boost::asio::io_context &io, std::shared_ptr<HttpClient> client,
-                      std::string targetId, std::vector<Address> entries, BodySource body)
+                      const std::string &targetId, std::vector<Address> entries, BodySource body)
 {
     return std::make_shared<HttpTargetAnnouncer>(io, std::move(client), targetId,
                                                  std::move(entries), std::move(body));
