Add camphorload with scenarios and the invariant check

Cause: response times, floods and the invariants need a load that does not wait for answers and a check against the targets' own start logs.

Change: scenarios in YAML name flows, phases, floods and cancellations; unknown keys are errors. The runner spreads calls over the ready entries and counts times from the intended start. The report has the documented JSON format, the same figures for each phase, and a table.

Conclusion: each kind of violation is found on hand-made logs.

--- /dev/null
+++ b/programs/camphorload.cpp
@@ -0,0 +1,103 @@
+/// @file camphorload: sends a scenario's load to the entries and checks the invariants.
+#include "CommandLine.h"
+#include "Ids.h"
+#include "InvariantCheck.h"
+#include "LoadReport.h"
+#include "LoadRunner.h"
+#include "Log.h"
+#include "OptionValues.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+using namespace Camphor;
+
+constexpr int BrokenInvariantExitCode = 1;
+/// Enough of a run's random id to keep two runs on one cluster apart.
+constexpr std::size_t RunIdLength = 8;
+
+const CommandLineSpec Spec{
+    "camphorload",
+    "Sends an open-loop load and checks the answers against the targets' start logs. Exits with 1 "
+    "when an invariant is broken.",
+    "--scenario FILE [options]",
+    {{"scenario", "FILE", "Scenario in YAML."},
+     {"check", "", "Check the scenario and exit: 0 if it is right, 2 if not."},
+     {"entries", "IP:PORT,...", "Entries; replaces those of the scenario."},
+     {"killed", "IP:PORT,...", "Entries that are killed on purpose during the run."},
+     {"start-logs", "FILE,...", "Start logs of the stand-in targets."},
+     {"seed", "N", "Replaces the scenario's seed."},
+     {"phases", "NAME,...", "Only these phases of the scenario."},
+     {"duration-factor", "F", "Multiplies the phases' durations (1)."},
+     {"report", "FILE", "Gets the report as JSON."}}};
+
+std::vector<StartRecord> readStarts(const std::vector<std::string> &paths,
+                                    const std::string &idPrefix)
+{
+    std::vector<StartRecord> starts;
+    for (const auto &path : paths) {
+        const auto log = readStartLog(path);
+        std::ranges::copy_if(log.value(), std::back_inserter(starts),
+                             [&](const StartRecord &it) { return it.id.starts_with(idPrefix); });
+    }
+    return starts;
+}
+
+void writeReport(const std::string &path, const nlohmann::json &report)
+{
+    if (path.empty())
+        return;
+    std::ofstream file(path);
+    file << report.dump(2) << "\n";
+    if (!file)
+        throw UserError({ErrorCode::Storage, "cannot write '" + path + "'"});
+}
+
+int run(const CommandLine &line)
+{
+    const OptionValues values(line);
+    auto scenario =
+        Scenario::load(line.value("scenario"))
+            .value()
+            .select(values.list("phases"), values.number("duration-factor", 1, 0.01, 100))
+            .value();
+    if (line.has("check"))
+        return 0;
+    if (line.has("seed"))
+        scenario.seed = static_cast<std::uint64_t>(values.integer("seed", 1, 0, 1L << 62));
+    LoadSettings settings{line.has("entries") ? values.addresses("entries") : scenario.entries,
+                          values.addresses("killed")};
+    if (settings.entries.empty()) {
+        throw UserError({ErrorCode::InvalidSettings,
+                         "no entries. Fix: give --entries or write 'entries' in the scenario"});
+    }
+    const auto idPrefix = makeRandomId().substr(0, RunIdLength);
+    const auto plan = planArrivals(scenario, idPrefix);
+    const auto observation = runLoad(scenario, plan, settings);
+    const auto starts = readStarts(values.list("start-logs"), idPrefix);
+    const auto invariants = checkInvariants(scenario, plan, observation.calls, starts);
+    const auto report = makeReport({scenario, plan, observation, starts, invariants});
+    writeReport(line.value("report"), report);
+    std::cout << makeTable(report) << "latest send " << observation.latestSend.count()
+              << " ms after its instant\n";
+    for (const auto &example : invariants.examples)
+        std::cout << "broken: " << example << "\n";
+    return invariants.isKept() ? 0 : BrokenInvariantExitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("camphorload", [&] {
+        const auto line = parseCommandLine(Spec, argc, argv);
+        startLog({});
+        return run(line);
+    });
+}
--- /dev/null
+++ b/src/EntryBalancer.h
@@ -0,0 +1,36 @@
+/// @file Spreads the load over the entries as the platform's load balancer would.
+#pragma once
+
+#include "HttpClient.h"
+#include "Settings.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace Camphor {
+
+/// Takes the entries in turn and skips those that are not ready. Runs on one thread.
+class EntryBalancer
+{
+public:
+    /// Starts to ask each entry's /readyz at a fixed interval.
+    [[nodiscard]] static std::shared_ptr<EntryBalancer> make(boost::asio::io_context &io,
+                                                             std::shared_ptr<HttpClient> client,
+                                                             const std::vector<Address> &entries);
+
+    virtual ~EntryBalancer() = default;
+
+    /// The next ready entry. When none is ready, the next one of all.
+    /// @param avoid an entry that is only taken if it is the only one.
+    [[nodiscard]] virtual Address next(const std::optional<Address> &avoid) = 0;
+    /// Skips an entry until its next successful readiness check.
+    virtual void markRefused(const Address &entry) = 0;
+    virtual void stop() = 0;
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/test/correctness/InvariantCheckTest.cpp
@@ -0,0 +1,137 @@
+#include "InvariantCheck.h"
+#include "TestProcess.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+
+namespace {
+
+/// One keyed booking "b", one job "j" with two tasks, and one repeatable quote "q", each answered
+/// at 200 ms after a start at 100 ms. The booking is sent twice.
+struct Run
+{
+    Scenario scenario = Scenario::parse("s.yaml", R"(
+name: s
+flows: [{name: booking, keyed: true}, {name: batch, kind: job}, {name: quote, repeatable: true}]
+phases: [{name: p, durationMs: 1000}]
+)")
+                            .value();
+    std::vector<PlannedRequest> plan{
+        makeRequest(0, 0, false, {"b"}), makeRequest(0, 0, true, {"b"}),
+        makeRequest(1, 1, false, {"j.0", "j.1"}), makeRequest(2, 2, false, {"q"})};
+    std::vector<CallRecord> calls{makeCall(0), makeCall(1), makeCall(2), makeCall(3)};
+    std::vector<StartRecord> starts{makeStart("b", "a-1", 100), makeStart("j.0", "a-2", 100),
+                                    makeStart("j.1", "a-3", 100), makeStart("q", "a-4", 100)};
+
+    static PlannedRequest makeRequest(std::size_t submission, std::size_t flow, bool isResubmission,
+                                      const std::vector<std::string> &ids)
+    {
+        PlannedRequest request;
+        request.submission = submission;
+        request.flow = flow;
+        request.isResubmission = isResubmission;
+        for (const auto &id : ids)
+            request.tasks.push_back({id, Milliseconds{50}, 0});
+        return request;
+    }
+    static CallRecord makeCall(std::size_t plan)
+    {
+        CallRecord call;
+        call.plan = plan;
+        call.outcome = CallOutcome::Completed;
+        call.sentWallMs = 90;
+        call.answeredWallMs = 200;
+        return call;
+    }
+    static StartRecord makeStart(const std::string &id, const std::string &attempt, double time)
+    {
+        return {time, "worker-1", attempt, "0", id, "service", 0};
+    }
+
+    [[nodiscard]] InvariantReport check() const
+    {
+        return checkInvariants(scenario, plan, calls, starts);
+    }
+};
+
+} // namespace
+
+// Guards against a check that reports a run without violations, or one that never reports.
+TEST_CASE("a run that keeps all invariants has no violation", "[load]")
+{
+    Run run;
+    CHECK(run.check().total() == 0);
+
+    // A repeatable request without a key may be started again by a retry.
+    run.starts.push_back(Run::makeStart("q", "a-5", 150));
+    // A refusal is true if only the other submission of the key started work later.
+    run.calls[0].outcome = CallOutcome::NotRun;
+    run.calls[0].answeredWallMs = 95;
+    CHECK(run.check().total() == 0);
+}
+
+TEST_CASE("two starts of a booking, of a job's task or of an attempt are double starts", "[load]")
+{
+    Run run;
+    const auto again = GENERATE(Run::makeStart("b", "a-9", 900), Run::makeStart("j.1", "a-9", 110),
+                                Run::makeStart("q", "a-4", 110));
+    run.starts.push_back(again);
+    CHECK(run.check().doubleStarts == 1);
+    CHECK(run.check().total() == 1);
+    CHECK(run.check().examples.size() == 1);
+}
+
+TEST_CASE("partial and wrong answers are told apart", "[load]")
+{
+    Run run;
+    run.calls[2].answer = AnswerCheck::Partial;
+    run.calls[3].answer = AnswerCheck::Wrong;
+    CHECK(run.check().partialAnswers == 1);
+    CHECK(run.check().wrongAnswers == 1);
+    CHECK(run.check().total() == 2);
+}
+
+TEST_CASE("not-run is false when any part of the request started", "[load]")
+{
+    Run run;
+    SECTION("a task of a job")
+    {
+        run.calls[2].outcome = CallOutcome::NotRun;
+        run.starts.erase(run.starts.begin() + 1);
+    }
+    SECTION("a start after the answer that no other call explains")
+    {
+        run.calls[3].outcome = CallOutcome::NotRun;
+        run.calls[3].answeredWallMs = 99;
+    }
+    SECTION("a start before the answer by the other submission of the key")
+    {
+        run.calls[1].outcome = CallOutcome::NotRun;
+    }
+    CHECK(run.check().falseNotRun == 1);
+    CHECK(run.check().total() == 1);
+}
+
+TEST_CASE("cut off and lost calls count unless their entry was killed", "[load]")
+{
+    Run run;
+    const bool isKilled = GENERATE(false, true);
+    run.calls[2].outcome = CallOutcome::CutOff;
+    run.calls[3].outcome = CallOutcome::Lost;
+    run.calls[2].isEntryKilled = isKilled;
+    run.calls[3].isEntryKilled = isKilled;
+    CHECK(run.check().cutOff == (isKilled ? 0 : 1));
+    CHECK(run.check().lost == (isKilled ? 0 : 1));
+}
+
+// Guards against an end of a run that makes the start log unreadable or hides a damaged line.
+TEST_CASE("a start log may end in the middle of a line but not be damaged before", "[load]")
+{
+    const Testing::TemporaryFolder folder;
+    const std::string whole = R"({"attempt":"a-1","id":"b"})";
+    const auto cut = folder.write("cut", whole + "\n" + whole.substr(0, 9));
+    REQUIRE(readStartLog(cut).isOk());
+    CHECK(readStartLog(cut).value().size() == 1);
+    CHECK_FALSE(readStartLog(folder.write("bad", "{\n" + whole + "\n")).isOk());
+}
