Build the entry for one failure domain and its peers

Cause: the entry was a thin program that sent every request to the next target, without claims, queues, outcomes or limits.

MemoryLedger and FileDeclarationSource serve an entry without a control group. A key is answered as not run only when the ledger shows that no earlier attempt was sent, also when the request itself is invalid.

Performance is not measured yet. The hand-over between entries has no test with several processes yet.

Conclusion: one entry with a file declaration serves the whole external API; ledgers and the control group are wired when they are there.

--- /dev/null
+++ b/src/CallerApi.cpp
@@ -0,0 +1,446 @@
+#include "CallerApi.h"
+
+#include "Ids.h"
+#include "Log.h"
+#include "Problem.h"
+#include "Tickets.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Camphor {
+
+namespace {
+
+using Json = nlohmann::json;
+
+HttpResponse makeJson(int status, const Json &body)
+{
+    return makeResponse(status, "application/json",
+                        body.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+/// A problem of a route that starts nothing.
+HttpResponse makeRefusal(int status, std::string reason)
+{
+    return makeProblem(JobAnswer::notRun(std::move(reason), status), makeRandomId());
+}
+
+HttpResponse makeMethodRefusal(const char *allowed)
+{
+    auto response = makeRefusal(405, "method-not-allowed");
+    response.headers["allow"] = allowed;
+    return response;
+}
+
+/// The key that a job's body names, if that much of it can be read.
+std::string keyOfInvalidJob(const HttpRequest &request)
+{
+    const auto header = request.header("idempotency-key");
+    if (isValidKey(header))
+        return std::string(header);
+    const auto json = Json::parse(request.body, nullptr, false);
+    if (!json.is_object() || !json.contains("key") || !json["key"].is_string())
+        return {};
+    auto key = json["key"].get<std::string>();
+    return isValidKey(key) ? key : std::string();
+}
+
+HttpResponse makeSingleResponse(const JobAnswer &answer, const std::string &requestId,
+                                const std::string &key)
+{
+    if (answer.outcome != Outcome::Completed)
+        return makeProblem(answer, requestId, key);
+    auto response = makeResponse(200, "application/octet-stream", answer.body);
+    response.headers["camphorspindle-request"] = requestId;
+    return response;
+}
+
+HttpResponse makeJobResponse(const JobAnswer &answer, const std::string &requestId,
+                             const std::string &key)
+{
+    return answer.outcome == Outcome::Completed ? makeJobCompleted(key, answer.body, requestId)
+                                                : makeProblem(answer, requestId, key);
+}
+
+} // namespace
+
+CallerApi::CallerApi(const ApiServices &services)
+    : m_services(services)
+{
+}
+
+void CallerApi::handle(HttpRequest request, const HttpRespond &respond)
+{
+    const auto path = splitPath(request.path());
+    const bool isV1 = !path.empty() && path[0] == "v1";
+    if (isV1 && path.size() == 3 && path[1] == "requests") {
+        if (request.method == "POST")
+            postRequest(std::move(request), path[2], respond);
+        else
+            respond(makeMethodRefusal("POST"));
+    } else if (isV1 && path.size() == 2 && path[1] == "jobs") {
+        if (request.method == "POST")
+            postJob(request, respond);
+        else
+            respond(makeMethodRefusal("POST"));
+    } else if (isV1 && path.size() == 3 && path[1] == "jobs") {
+        handleJob(request.method, path[2], respond);
+    } else if (isV1 && path.size() == 2 && path[1] == "tickets") {
+        if (request.method == "POST")
+            postTickets(request, respond);
+        else
+            respond(makeMethodRefusal("POST"));
+    } else if (isV1 && path.size() == 3 && path[1] == "targets") {
+        handleTarget(request, path[2], respond);
+    } else if (isV1 && path.size() == 2 && path[1] == "declaration") {
+        handleDeclaration(request, respond);
+    } else {
+        handleGet(request, path, respond);
+    }
+}
+
+void CallerApi::refuseInvalid(const Error &error, const std::string &key,
+                              const HttpRespond &respond)
+{
+    m_services.metrics.countRefusal();
+    const auto requestId = makeRandomId();
+    Log::decision("refused").kv("request", requestId).kv("reason", error.message);
+    if (key.empty()) {
+        respond(makeProblem(JobAnswer::notRun(error.message, 400), requestId));
+        return;
+    }
+    if (m_services.registry.find(key)) {
+        respond(makeProblem(JobAnswer::unknown(error.message, 0), requestId, key));
+        return;
+    }
+    m_services.flow.query(key, [=, reason = error.message](const ClaimReply &reply) {
+        const auto answer = reply.state == ClaimState::Absent ? JobAnswer::notRun(reason, 400)
+                                                              : JobAnswer::unknown(reason, 0);
+        respond(makeProblem(answer, requestId, key));
+    });
+}
+
+void CallerApi::postRequest(HttpRequest request, const std::string &service,
+                            const HttpRespond &respond)
+{
+    const auto header = request.header("idempotency-key");
+    const std::string key(isValidKey(header) ? header : std::string_view{});
+    auto submission = parseSingleRequest(std::move(request), service);
+    if (!submission) {
+        refuseInvalid(submission.error(), key, respond);
+        return;
+    }
+    const auto requestId = submission.value().requestId;
+    m_services.flow.submit(std::move(submission).value(),
+                           [this, respond, requestId, key](const JobAnswer &answer) {
+                               m_services.metrics.countAnswer(outcomeName(answer.outcome));
+                               respond(makeSingleResponse(answer, requestId, key));
+                           });
+}
+
+void CallerApi::postJob(const HttpRequest &request, const HttpRespond &respond)
+{
+    auto submission = parseJob(request);
+    if (!submission) {
+        refuseInvalid(submission.error(), keyOfInvalidJob(request), respond);
+        return;
+    }
+    const auto requestId = submission.value().requestId;
+    const auto key = submission.value().key;
+    m_services.flow.submit(std::move(submission).value(),
+                           [this, respond, requestId, key](const JobAnswer &answer) {
+                               m_services.metrics.countAnswer(outcomeName(answer.outcome));
+                               respond(makeJobResponse(answer, requestId, key));
+                           });
+}
+
+void CallerApi::handleJob(const std::string &method, const std::string &key,
+                          const HttpRespond &respond)
+{
+    if (!isValidKey(key))
+        respond(makeRefusal(400, "invalid-key"));
+    else if (method == "GET")
+        getJob(key, respond);
+    else if (method == "DELETE")
+        deleteJob(key, respond);
+    else
+        respond(makeMethodRefusal("GET, DELETE"));
+}
+
+void CallerApi::getJob(const std::string &key, const HttpRespond &respond)
+{
+    if (const auto execution = m_services.registry.find(key)) {
+        const auto answer = execution->answer();
+        const auto &submission = execution->submission;
+        if (!answer) {
+            respond(makeJson(200,
+                             {{"key", key},
+                              {"state", "running"},
+                              {"tasks", submission.inputs.size()},
+                              {"done", execution->assembler.tasksDone()}}));
+        } else if (answer->outcome != Outcome::Completed) {
+            respond(makeProblem(*answer, submission.requestId, key));
+        } else {
+            respond(makeJobCompleted(
+                key, submission.isJob ? answer->body : "[" + bodyAsJson(answer->body) + "]",
+                submission.requestId));
+        }
+        return;
+    }
+    m_services.flow.query(
+        key, [this, key, respond](const ClaimReply &reply) { answerStored(key, reply, respond); });
+}
+
+void CallerApi::answerStored(const std::string &key, const ClaimReply &reply,
+                             const HttpRespond &respond)
+{
+    const auto problem = [&](JobAnswer answer, int status) {
+        answer.status = status;
+        respond(makeProblem(answer, makeRandomId(), key));
+    };
+    switch (reply.state) {
+    case ClaimState::Stored: {
+        const auto answer = SubmissionFlow::answerFromStored(reply);
+        if (answer.outcome != Outcome::Completed)
+            problem(answer, 0);
+        else
+            respond(makeJobCompleted(key,
+                                     SubmissionFlow::isStoredJob(reply)
+                                         ? answer.body
+                                         : "[" + bodyAsJson(answer.body) + "]",
+                                     makeRandomId()));
+        return;
+    }
+    case ClaimState::Running:
+        if (m_services.cluster.isDead(reply.executor)) {
+            problem(JobAnswer::unknown("executor-died", 0), 0);
+        } else {
+            respond(makeJson(200,
+                             {{"key", key},
+                              {"state", "running"},
+                              {"tasks", reply.taskCount},
+                              {"executor", reply.executor.instance}}));
+        }
+        return;
+    case ClaimState::Absent:
+        // The key may have been used so long ago that the ledger has forgotten it.
+        problem(JobAnswer::unknown("unknown-key", 0), 404);
+        return;
+    case ClaimState::Expired:
+        problem(JobAnswer::unknown("key-expired", 0), 0);
+        return;
+    default:
+        problem(JobAnswer::unknown("ledger-unreachable", 0), 0);
+        return;
+    }
+}
+
+void CallerApi::deleteJob(const std::string &key, const HttpRespond &respond)
+{
+    const auto accepted = [key] { return makeJson(202, {{"key", key}, {"state", "cancelling"}}); };
+    const auto execution = m_services.registry.find(key);
+    if (execution && !execution->answer() && m_services.flow.cancel(key)) {
+        respond(accepted());
+        return;
+    }
+    m_services.flow.query(key, [this, key, respond, accepted](const ClaimReply &reply) {
+        const bool isElsewhere = reply.state == ClaimState::Running
+            && m_services.cluster.isPeer(reply.executor.instance)
+            && !m_services.cluster.isDead(reply.executor);
+        if (isElsewhere) {
+            m_services.peers.cancelSubmission(reply.executor.instance, key);
+            respond(accepted());
+            return;
+        }
+        answerStored(key, reply, respond);
+    });
+}
+
+void CallerApi::postTickets(const HttpRequest &request, const HttpRespond &respond)
+{
+    const auto count = parseTicketCount(request.body);
+    if (!count) {
+        refuseInvalid(count.error(), {}, respond);
+        return;
+    }
+    auto keys = Json::array();
+    for (std::uint32_t n = 0; n < count.value(); ++n)
+        keys.push_back(makeTicket(m_services.settings.domain));
+    respond(makeJson(200, {{"keys", std::move(keys)}}));
+}
+
+void CallerApi::handleTarget(const HttpRequest &request, const std::string &id,
+                             const HttpRespond &respond)
+{
+    if (request.method == "DELETE") {
+        m_services.directory.leave(id);
+        respond(makeJson(200, {{"state", "left"}}));
+        return;
+    }
+    if (request.method != "PUT") {
+        respond(makeMethodRefusal("PUT, DELETE"));
+        return;
+    }
+    auto announcement = parseAnnouncement(id, request.body);
+    if (!announcement) {
+        refuseInvalid(announcement.error(), {}, respond);
+        return;
+    }
+    const auto &domain = announcement.value().domain;
+    if (!domain.empty() && domain != m_services.settings.domain) {
+        respond(makeRefusal(409, "target-of-another-domain"));
+        return;
+    }
+    const auto reply = m_services.directory.announce(std::move(announcement).value());
+    respond(makeJson(200,
+                     {{"owner", reply.owner.toString()},
+                      {"heartbeatMs", static_cast<long>(reply.heartbeat.count())}}));
+}
+
+void CallerApi::handleDeclaration(const HttpRequest &request, const HttpRespond &respond)
+{
+    if (request.method == "PUT") {
+        respond(makeRefusal(403, "declarations-are-changed-at-the-operators-listener"));
+        return;
+    }
+    if (request.method != "GET") {
+        respond(makeMethodRefusal("GET"));
+        return;
+    }
+    const auto current = m_services.declaration.current();
+    if (current.version == 0) {
+        respond(makeRefusal(404, "no-declaration"));
+        return;
+    }
+    auto response = makeResponse(200, "application/yaml", current.text);
+    response.headers["etag"] = "\"" + std::to_string(current.version) + "\"";
+    respond(std::move(response));
+}
+
+void CallerApi::handleGet(const HttpRequest &request, const Path &path, const HttpRespond &respond)
+{
+    const auto is = [&path](std::initializer_list<const char *> parts) {
+        return std::equal(path.begin(), path.end(), parts.begin(), parts.end());
+    };
+    const bool isExplain = path.size() == 3 && path[0] == "v1" && path[1] == "explain";
+    const bool isKnown =
+        isExplain || is({"v1", "status"}) || is({"metrics"}) || is({"healthz"}) || is({"readyz"});
+    if (!isKnown)
+        respond(makeRefusal(404, "no-such-path"));
+    else if (request.method != "GET")
+        respond(makeMethodRefusal("GET"));
+    else if (isExplain)
+        respond(explanation(path[2]));
+    else if (is({"v1", "status"}))
+        respond(status());
+    else if (is({"metrics"}))
+        respond(metricsText());
+    else if (is({"readyz"}))
+        respond(readiness());
+    else
+        respond(makeResponse(200, "text/plain", "ok\n"));
+}
+
+HttpResponse CallerApi::readiness() const
+{
+    if (m_isDraining)
+        return makeRefusal(503, "draining");
+    if (!m_services.pools.declaration())
+        return makeRefusal(503, "no-declaration");
+    return makeResponse(200, "text/plain", "ready\n");
+}
+
+HttpResponse CallerApi::status() const
+{
+    auto pools = Json::object();
+    for (const auto &shard : m_services.pools.shards()) {
+        const auto stats = shard->stats();
+        pools[shard->pool()] = {{"queuedTasks", stats.queuedTasks},
+                                {"runningTasks", stats.runningTasks},
+                                {"targets", stats.targets},
+                                {"targetsOnProbation", stats.targetsOnProbation},
+                                {"freeSlots", stats.freeSlots},
+                                {"slots", stats.slots},
+                                {"queuedSlotMs", stats.queuedSlotMs},
+                                {"submitted", stats.submitted},
+                                {"finished", stats.finished},
+                                {"starts", stats.starts},
+                                {"hedges", stats.hedges},
+                                {"retries", stats.retries},
+                                {"forwards", stats.forwards},
+                                {"pulls", stats.pulls},
+                                {"expired", stats.expired}};
+    }
+    auto peers = Json::object();
+    for (const auto &peer : m_services.settings.peers) {
+        peers[peer.instance] = {{"domain", peer.domain},
+                                {"state", peerStateName(m_services.cluster.state(peer.instance))},
+                                {"incarnation", m_services.cluster.incarnation(peer.instance)}};
+    }
+    const auto &self = m_services.cluster.self();
+    return makeJson(200,
+                    {{"instance", self.instance},
+                     {"incarnation", self.incarnation},
+                     {"domain", m_services.settings.domain},
+                     {"declarationVersion", m_services.declaration.current().version},
+                     {"draining", m_isDraining.load()},
+                     {"executions", m_services.registry.size()},
+                     {"ownedTargets", m_services.directory.ownedTargets()},
+                     {"pools", std::move(pools)},
+                     {"peers", std::move(peers)}});
+}
+
+HttpResponse CallerApi::explanation(const std::string &requestId) const
+{
+    auto tasks = Json::array();
+    for (const auto &shard : m_services.pools.shards()) {
+        for (const auto &task : shard->explain(requestId)) {
+            tasks.push_back({{"task", task.taskIndex},
+                             {"state", task.state},
+                             {"reason", task.reason},
+                             {"place", task.place},
+                             {"attempts", task.attempts},
+                             {"sinceMs", task.since.count()}});
+        }
+    }
+    auto decisions = Json::array();
+    for (const auto &line : m_services.explain.lines(requestId))
+        decisions.push_back({{"timeMs", line.time.count()}, {"text", line.text}});
+    if (tasks.empty() && decisions.empty())
+        return makeRefusal(404, "unknown-request");
+    return makeJson(200,
+                    {{"requestId", requestId},
+                     {"tasks", std::move(tasks)},
+                     {"decisions", std::move(decisions)}});
+}
+
+HttpResponse CallerApi::metricsText()
+{
+    auto &metrics = m_services.metrics;
+    for (const auto &shard : m_services.pools.shards()) {
+        const auto stats = shard->stats();
+        const auto set = [&](const char *name, double value) {
+            metrics.setGauge(std::string("camphorspindle_") + name, "pool", shard->pool(), value);
+        };
+        set("queued_tasks", stats.queuedTasks);
+        set("running_tasks", stats.runningTasks);
+        set("targets", stats.targets);
+        set("targets_on_probation", stats.targetsOnProbation);
+        set("free_slots", stats.freeSlots);
+        set("slots", stats.slots);
+        set("starts", static_cast<double>(stats.starts));
+        set("hedges", static_cast<double>(stats.hedges));
+        set("retries", static_cast<double>(stats.retries));
+        set("forwards", static_cast<double>(stats.forwards));
+        set("pulls", static_cast<double>(stats.pulls));
+    }
+    metrics.setGauge("camphorspindle_declaration_version", "", "",
+                     static_cast<double>(m_services.declaration.current().version));
+    metrics.setGauge("camphorspindle_executions", "", "",
+                     static_cast<double>(m_services.registry.size()));
+    return makeResponse(200, "text/plain; version=0.0.4", metrics.text());
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/DrainController.cpp
@@ -0,0 +1,114 @@
+#include "DrainController.h"
+
+#include "Log.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <chrono>
+
+namespace Camphor {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+constexpr Milliseconds PollPeriod{10};
+/// Time for the answers of abandoned work to be written.
+constexpr Milliseconds AbandonGrace{2'000};
+/// Time for callers to close their side of connections that were answered.
+constexpr Milliseconds CloseGrace{2'500};
+
+class TimedDrain : public DrainController
+{
+public:
+    TimedDrain(Asio::io_context &io, const DrainSettings &settings, DrainSteps steps)
+        : m_settings(settings)
+        , m_steps(std::move(steps))
+        , m_timer(Asio::make_strand(io))
+    {
+    }
+
+    void begin() override
+    {
+        if (m_hasBegun.exchange(true))
+            return;
+        Log::info("drain-begins");
+        m_steps.failReadiness();
+        wait(m_settings.readiness, [this] {
+            Log::info("drain-stops-intake");
+            m_steps.stopIntake();
+            m_limit = m_clock.now() + m_settings.limit;
+            pollIdle();
+        });
+    }
+
+private:
+    void wait(Milliseconds pause, std::function<void()> next)
+    {
+        m_timer.expires_after(
+            std::chrono::microseconds(static_cast<std::int64_t>(pause.count() * 1000)));
+        m_timer.async_wait([self = shared_from_this(),
+                            next = std::move(next)](const boost::system::error_code &ec) {
+            if (!ec)
+                next();
+        });
+    }
+
+    void pollIdle()
+    {
+        const auto now = m_clock.now();
+        if (m_steps.isIdle()) {
+            close();
+            return;
+        }
+        if (now >= m_limit && !m_isAbandoned) {
+            Log::warning("drain-over-limit").kv("limitMs", m_settings.limit.count());
+            m_isAbandoned = true;
+            m_steps.abandon();
+        }
+        if (now >= m_limit + AbandonGrace)
+            close();
+        else
+            wait(PollPeriod, [this] { pollIdle(); });
+    }
+
+    void close()
+    {
+        m_limit = m_clock.now() + CloseGrace;
+        pollClosed();
+    }
+
+    void pollClosed()
+    {
+        m_steps.closeConnections();
+        if (m_steps.isClosed() || m_clock.now() >= m_limit) {
+            Log::info("drain-ends");
+            m_steps.exit();
+            return;
+        }
+        wait(PollPeriod, [this] { pollClosed(); });
+    }
+
+    const SteadyClock m_clock;
+    const DrainSettings m_settings;
+    const DrainSteps m_steps;
+    Asio::steady_timer m_timer;
+    std::atomic<bool> m_hasBegun{false};
+    bool m_isAbandoned = false;
+    Milliseconds m_limit;
+};
+
+} // namespace
+
+std::shared_ptr<DrainController>
+DrainController::make(boost::asio::io_context &io, const DrainSettings &settings, DrainSteps steps)
+{
+    return std::make_shared<TimedDrain>(io, settings, std::move(steps));
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/EntryMetrics.cpp
@@ -0,0 +1,55 @@
+#include "EntryMetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace Camphor {
+
+EntryMetrics::EntryMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_answers(prometheus::BuildCounter()
+                    .Name("camphorspindle_answers_total")
+                    .Help("Answers to callers by outcome.")
+                    .Register(*m_registry))
+    , m_attempts(prometheus::BuildCounter()
+                     .Name("camphorspindle_attempts_total")
+                     .Help("Calls to targets by what their result proves.")
+                     .Register(*m_registry))
+    , m_lateAnswers(counter("camphorspindle_late_answers_total",
+                            "Answers of attempts that were given up; all were dropped."))
+    , m_ledgerMessages(counter("camphorspindle_ledger_requests_total",
+                               "Claims, ends and queries sent to the ledger."))
+    , m_peerMessages(
+          counter("camphorspindle_peer_requests_total", "Requests sent to peer entries."))
+    , m_digests(counter("camphorspindle_digests_total", "Digests sent to peer entries."))
+    , m_refusals(counter("camphorspindle_invalid_requests_total", "Requests with invalid input."))
+{
+}
+
+prometheus::Counter &EntryMetrics::counter(const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(*m_registry).Add({});
+}
+
+void EntryMetrics::countAnswer(const char *outcome)
+{
+    m_answers.Add({{"outcome", outcome}}).Increment();
+}
+
+void EntryMetrics::countAttempt(const char *end) { m_attempts.Add({{"end", end}}).Increment(); }
+
+void EntryMetrics::countRefusal() { m_refusals.Increment(); }
+
+void EntryMetrics::setGauge(const std::string &name, const std::string &label,
+                            const std::string &value, double number)
+{
+    auto &family = prometheus::BuildGauge().Name(name).Register(*m_registry);
+    family.Add(label.empty() ? prometheus::Labels{} : prometheus::Labels{{label, value}})
+        .Set(number);
+}
+
+std::string EntryMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/EntryMetrics.h
@@ -0,0 +1,47 @@
+/// @file Counters and gauges of an entry, in the Prometheus text format.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace Camphor {
+
+/// All metrics of one entry. The counters are thread-safe.
+class EntryMetrics
+{
+public:
+    EntryMetrics();
+
+    void countAnswer(const char *outcome);
+    void countAttempt(const char *end);
+    void countRefusal();
+    void countLateAnswer() { m_lateAnswers.Increment(); }
+    void countLedgerMessage() { m_ledgerMessages.Increment(); }
+    void countPeerMessage() { m_peerMessages.Increment(); }
+    void countDigest() { m_digests.Increment(); }
+    /// Sets a gauge by name and label; made when it is first used.
+    void setGauge(const std::string &name, const std::string &label, const std::string &value,
+                  double number);
+
+    /// The text of /metrics.
+    [[nodiscard]] std::string text() const;
+
+private:
+    prometheus::Counter &counter(const std::string &name, const std::string &help);
+
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_answers;
+    prometheus::Family<prometheus::Counter> &m_attempts;
+    prometheus::Counter &m_lateAnswers;
+    prometheus::Counter &m_ledgerMessages;
+    prometheus::Counter &m_peerMessages;
+    prometheus::Counter &m_digests;
+    prometheus::Counter &m_refusals;
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/src/PoolShard.h
@@ -0,0 +1,143 @@
+/// @file One Dispatcher under its own lock, and the execution of its actions.
+#pragma once
+
+#include "Dispatcher.h"
+#include "EntryMetrics.h"
+#include "ExplainLog.h"
+#include "JobAssembler.h"
+#include "PeerMessages.h"
+#include "TargetCaller.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Camphor {
+
+/// The end of a forwarded task, with its body.
+struct ForwardResult
+{
+    AttemptReport report;
+    std::string body;
+};
+
+/// Calls to peer entries, as a PoolShard needs them.
+class PeerCalls
+{
+public:
+    virtual ~PeerCalls() = default;
+
+    /// The callback is called exactly once.
+    virtual void place(const std::string &peer, PlaceTask task,
+                       std::function<void(ForwardResult)> callback) = 0;
+    virtual void cancel(const std::string &peer, const std::string &attempt) = 0;
+    virtual void pull(const std::string &peer, const std::string &pool, std::uint32_t slots) = 0;
+};
+
+/// A task with what the Dispatcher does not hold.
+struct PlacedTask
+{
+    TaskSpec spec;
+    std::shared_ptr<const std::string> input;
+    std::function<void(TaskEnd)> onEnd; ///< Called exactly once, without a lock.
+};
+
+/// What all shards of an entry use.
+struct ShardServices
+{
+    const Clock &clock;
+    TargetCaller &targets;
+    PeerCalls &peers;
+    EntryMetrics &metrics;
+    ExplainLog &explain;
+};
+
+/// One pool of the entry. Thread-safe. It must outlive the calls that it has started.
+class PoolShard
+{
+public:
+    PoolShard(DispatcherSettings settings, const Declaration &declaration,
+              const ShardServices &services);
+
+    [[nodiscard]] const std::string &pool() const { return m_pool; }
+    [[nodiscard]] AdmissionDecision admit(const std::string &service, const std::string &team,
+                                          std::uint32_t taskCount, Milliseconds deadline) const;
+    void submit(std::vector<PlacedTask> tasks);
+    void cancel(TaskHandle handle);
+    void cancelRequest(const std::string &requestId);
+    void targetAnnounced(const TargetAnnouncement &announcement);
+    void targetLeft(const std::string &id);
+    /// @return the attempts in flight there, for the new owner.
+    std::vector<std::string> targetReleased(const std::string &id);
+    void peerDigest(const Digest &digest);
+    void peerLost(const std::string &instance);
+    /// Sends queued tasks to a peer that has free slots. @return how many.
+    std::uint32_t giveToPeer(const std::string &instance, std::uint32_t slots);
+    void tick();
+    void applyDeclaration(const Declaration &declaration);
+    void startDraining();
+
+    [[nodiscard]] PoolDigest digest() const;
+    [[nodiscard]] DispatcherStats stats() const;
+    [[nodiscard]] std::vector<TaskExplanation> explain(const std::string &requestId) const;
+    [[nodiscard]] std::int64_t freeSlots(const std::string &service) const;
+    /// Tasks that have not ended, or of which an attempt was not reported.
+    [[nodiscard]] std::size_t liveTasks() const;
+
+private:
+    using Effect = std::function<void()>;
+
+    /// The answer that came with the report of an attempt.
+    struct Delivery
+    {
+        TaskHandle handle = 0;
+        std::uint32_t attempt = 0;
+        std::string body;
+        Milliseconds runTime;
+    };
+
+    /// A task until it has ended and all of its attempts were reported.
+    struct LiveTask
+    {
+        PlacedTask task;
+        std::uint32_t attemptsInFlight = 0;
+        bool hasEnded = false;
+    };
+
+    /// Runs a decision under the lock, and then its actions, in their order, without the lock.
+    template <typename F>
+    void act(F &&decide, Delivery delivery);
+    template <typename F>
+    void act(F &&decide)
+    {
+        act(std::forward<F>(decide), Delivery{});
+    }
+
+    void resolve(const StartAttempt &action, Delivery &delivery, std::vector<Effect> &effects);
+    void resolve(const ForwardTask &action, Delivery &delivery, std::vector<Effect> &effects);
+    void resolve(const PullFromPeer &action, Delivery &delivery, std::vector<Effect> &effects);
+    void resolve(const StopAttempt &action, Delivery &delivery, std::vector<Effect> &effects);
+    void resolve(const FinishTask &action, Delivery &delivery, std::vector<Effect> &effects);
+
+    void onAttemptEnd(TaskHandle handle, std::uint32_t attempt, const std::string &attemptName,
+                      AttemptResult result);
+    void onForwardEnd(TaskHandle handle, std::uint32_t attempt, ForwardResult result);
+    /// Counts the report of an attempt. The task is forgotten if it was the last one to wait for.
+    void noteReport(TaskHandle handle, std::uint32_t attempt);
+    void forgetIfDone(TaskHandle handle);
+
+    const std::string m_pool;
+    ShardServices m_services;
+    mutable std::mutex m_mutex;
+    std::unique_ptr<Dispatcher> m_dispatcher;
+    std::unordered_map<TaskHandle, LiveTask> m_tasks;
+};
+
+/// A handle that no other task of this process has.
+[[nodiscard]] TaskHandle nextTaskHandle();
+
+} // namespace Camphor
