Decide placement, queueing, admission, health and hand-over

Cause: the first Dispatcher had one first-in first-out queue and knew neither shares, peers, retries nor the health of targets.

Change: pure modules FlowQueue (weighted fair over services and teams), RunTimeEstimator, TargetRegistry, TargetHealth, RetryBudget, Hedging, Admission, PlacementPolicy with baselines, PeerTable, PoolRules and TimerQueue, composed by Dispatcher. Digests also list the flows that wait.

--- a/src/DispatchTypes.h
+++ b/src/DispatchTypes.h
@@ -112,6 +112,22 @@
     }
 };
 
+/// A flow that waits at an entry. Flows that are not listed start with the next free slot.
+struct FlowDigest
+{
+    std::string service;
+    std::string team;
+    double waitMs = 0; ///< How long a new task of the flow waits.
+
+    auto operator<=>(const FlowDigest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, team, waitMs);
+    }
+};
+
 /// The load of one pool of an entry.
 struct PoolDigest
 {
@@ -122,13 +138,14 @@
     std::uint32_t queuedTasks = 0;
     double queuedSlotMs = 0; ///< Estimated work that waits, in slot-milliseconds.
     std::vector<ServiceDigest> services;
+    std::vector<FlowDigest> waiting; ///< The flows with the longest waits.
 
     auto operator<=>(const PoolDigest &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(pool, freeSlots, slots, targets, queuedTasks, queuedSlotMs, services);
+        archive(pool, freeSlots, slots, targets, queuedTasks, queuedSlotMs, services, waiting);
     }
 };
 
--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "DispatchTypes.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,6 +30,12 @@
     QueueKind queue = QueueKind::Fair;
     std::uint64_t seed = 1; ///< For placement among equals.
     std::uint32_t maxQueuedTasks = 100'000;
+    /// Part of the slots that a flow above its share leaves to flows that were active lately.
+    double headroomShare = 0;
+    /// See FlowQueueSettings.
+    Milliseconds urgencyStep{2'000};
+    Milliseconds workStep{0};
+    bool isHedging = true;
 
     auto operator<=>(const DispatcherSettings &) const = default;
 };
@@ -86,6 +93,9 @@
     [[nodiscard]] Actions takeForPeer(const std::string &instance, std::uint32_t slots,
                                       Milliseconds now);
 
+    /// Load of the other pools of this entry, for dependencies on their services.
+    void otherPools(const std::vector<PoolDigest> &pools);
+
     /// To be called every 10 to 100 ms: deadlines, heartbeats, hedges, forwards.
     [[nodiscard]] Actions tick(Milliseconds now);
     [[nodiscard]] Actions applyDeclaration(const Declaration &declaration, Milliseconds now);
--- /dev/null
+++ b/src/DispatcherPlacement.cpp
@@ -0,0 +1,324 @@
+#include "DispatcherCore.h"
+
+#include "Ownership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Camphor {
+
+namespace {
+
+/// A peer's wait must be shorter by this much before a waiting task moves, because digests are up
+/// to 100 ms old and a moved task cannot move again.
+constexpr Milliseconds WaitHysteresis{20};
+/// Tasks that one step may move, so that a step stays short.
+constexpr int MaxMovedInStep = 256;
+
+} // namespace
+
+std::uint32_t Dispatcher::Core::headroom(std::uint32_t index) const
+{
+    return static_cast<std::uint32_t>(
+        std::lround(m_settings.headroomShare * m_registry.slots(index)));
+}
+
+bool Dispatcher::Core::isServiceOpen(std::uint32_t index, Milliseconds now) const
+{
+    if (m_registry.freeSlots(index) > 0)
+        return true;
+    return std::ranges::any_of(m_health.probation(), [&](TargetIndex it) {
+        return m_health.isTrialDue(it, false, now) && m_registry.canTake(it, index);
+    });
+}
+
+bool Dispatcher::Core::isWithinQuota(FlowId flow) const
+{
+    return !m_hasQuota[flow.team] || m_queue.teamSlotsInUse(flow.team) < m_quotas[flow.team];
+}
+
+bool Dispatcher::Core::isFlowOpen(FlowId flow, Milliseconds now) const
+{
+    if (!isWithinQuota(flow))
+        return false;
+    const auto left = headroom(flow.service);
+    if (m_settings.queue == QueueKind::Fifo || left == 0
+        || m_registry.freeSlots(flow.service) > left)
+        return true;
+    return m_queue.slotsInUse(flow)
+        < m_queue.activeShare(flow, now) * m_registry.slots(flow.service);
+}
+
+std::optional<TargetIndex> Dispatcher::Core::dueTrial(std::uint32_t index, const Task &task,
+                                                      Milliseconds now) const
+{
+    const auto isRepeatable =
+        task.spec.isRepeatable && !task.spec.isJobTask && task.spec.origin.empty();
+    const auto &probation = m_health.probation();
+    const auto it = std::ranges::find_if(probation, [&](TargetIndex target) {
+        return m_health.isTrialDue(target, isRepeatable, now) && m_registry.canTake(target, index)
+            && std::ranges::count(task.avoid, target) == 0;
+    });
+    return it == probation.end() ? std::nullopt : std::optional(*it);
+}
+
+std::optional<TargetIndex> Dispatcher::Core::chooseTarget(const Task &task)
+{
+    PlacementRequest request;
+    request.service = task.flow.service;
+    request.avoid = task.avoid;
+    if (task.spec.isJobTask)
+        request.racks = task.request->second.racks;
+    return m_policy->choose(m_registry, request);
+}
+
+void Dispatcher::Core::startLocal(Milliseconds now)
+{
+    std::vector<TaskHandle> passedOver;
+    while (m_queue.size() > 0 && passedOver.size() < MaxPassedOver
+           && (m_registry.freeSlots() > 0 || !m_health.probation().empty())) {
+        const auto ticket =
+            m_queue.next([&](std::uint32_t index) { return isServiceOpen(index, now); },
+                         [&](FlowId flow) { return isFlowOpen(flow, now); });
+        if (!ticket)
+            break;
+        auto &task = m_tasks.find(m_queue.task(*ticket).handle)->second;
+        if (task.spec.deadline <= now) {
+            deadlinePassed(task, now);
+            forgetIfDone(task);
+            continue;
+        }
+        const auto trial = dueTrial(task.flow.service, task, now);
+        const auto target = trial ? trial : chooseTarget(task);
+        if (!target) {
+            dequeue(task);
+            passedOver.push_back(task.spec.handle);
+            continue;
+        }
+        const auto charged = m_queue.pop(*task.ticket, now).estimateMs;
+        task.ticket.reset();
+        startAttempt(task, *target, charged, trial.has_value(),
+                     trial ? "trial-of-target" : "free-slot", now);
+    }
+    for (const auto handle : passedOver)
+        enqueue(m_tasks.find(handle)->second, true);
+}
+
+void Dispatcher::Core::startAttempt(Task &task, TargetIndex target, double chargedMs, bool isTrial,
+                                    std::string_view reason, Milliseconds now, bool isHedge)
+{
+    Attempt attempt;
+    attempt.number = task.spec.attempt++;
+    attempt.target = target;
+    attempt.key = attemptKey(attemptId(task.spec.requestId, task.spec.taskIndex, attempt.number));
+    attempt.startedAt = now;
+    attempt.chargedMs = chargedMs;
+    attempt.isTrial = isTrial;
+    m_registry.take(target, task.flow.service, attempt.key);
+    m_queue.slotTaken(task.flow);
+    if (isTrial)
+        m_health.trialStarted(target);
+    task.avoid.push_back(target);
+    if (task.spec.isJobTask) {
+        auto &racks = task.request->second.racks;
+        const auto rack = m_registry.rack(target);
+        if (rack >= racks.size())
+            racks.resize(rack + 1);
+        ++racks[rack];
+    }
+    if (task.attempts.empty())
+        ++m_running;
+    ++task.started;
+    ++task.sends;
+    ++m_stats.starts;
+    m_hedging.attemptStarted();
+    task.since = now;
+    task.lastDecision = reason;
+    task.lastPlace = m_registry.id(target);
+    m_actions.emplace_back(StartAttempt{task.spec.handle, attempt.number, m_registry.id(target),
+                                        m_registry.address(target), reason, isHedge});
+    if (!isHedge)
+        planHedge(task, attempt.number, now);
+    task.attempts.push_back(std::move(attempt));
+}
+
+void Dispatcher::Core::planHedge(const Task &task, std::uint32_t attempt, Milliseconds now)
+{
+    if (!m_settings.isHedging || !task.spec.isRepeatable || task.spec.isJobTask
+        || !task.spec.origin.empty())
+        return;
+    if (const auto after = Hedging::checkAfter(m_serviceStates[task.flow.service].runTimes))
+        m_timers.add(now + *after, {task.spec.handle, attempt, TimerQueue::Kind::Hedge});
+}
+
+void Dispatcher::Core::tryHedge(Task &task, std::uint32_t number, Milliseconds now)
+{
+    const auto isCandidate = task.attempts.size() == 1 && task.attempts.front().number == number
+        && !task.attempts.front().isStopped && maySendAgain(task) && isWithinQuota(task.flow);
+    const auto index = task.flow.service;
+    const auto free = m_registry.freeSlots(index);
+    const auto spare = free > headroom(index) ? free - headroom(index) : 0;
+    if (!isCandidate
+        || !m_hedging.isWorthwhile(task.spec.deadline, m_serviceStates[index].runTimes, spare,
+                                   m_queue.size(), now))
+        return;
+    const auto target = chooseTarget(task);
+    if (!target)
+        return;
+    const auto charged = estimateMs(index);
+    m_queue.settle(task.flow, 0, charged);
+    m_hedging.hedgeStarted();
+    ++m_stats.hedges;
+    startAttempt(task, *target, charged, false, "slower-than-p95", now, true);
+}
+
+const std::string *Dispatcher::Core::freePeer(std::uint32_t index)
+{
+    const auto total = m_peers.freeSlots(index, m_settings.domain);
+    if (total < 1)
+        return nullptr;
+    // In proportion to the free slots: if all entries took the peer with the most, they would
+    // fill it together before its next digest.
+    auto pick = static_cast<double>(m_random() % 1'000'000) / 1e6 * total;
+    const std::string *last = nullptr;
+    for (const auto &[instance, peer] : m_peers.peers()) {
+        if (!mayUsePeer(peer) || index >= peer.services.size() || peer.services[index].free < 1)
+            continue;
+        last = &instance;
+        pick -= peer.services[index].free;
+        if (pick < 0)
+            break;
+    }
+    return last;
+}
+
+void Dispatcher::Core::forwardToFree(Milliseconds now)
+{
+    if (m_peers.peers().empty())
+        return;
+    for (int n = 0; n < MaxMovedInStep && m_queue.size() > 0; ++n) {
+        const auto ticket = m_queue.next(
+            [&](std::uint32_t index) { return m_peers.freeSlots(index, m_settings.domain) >= 1; },
+            [&](FlowId flow) { return !m_hasQuota[flow.team]; }, true);
+        if (!ticket)
+            return;
+        auto &task = m_tasks.find(m_queue.task(*ticket).handle)->second;
+        const auto *peer = freePeer(task.flow.service);
+        if (peer == nullptr)
+            return;
+        forward(task, *peer, "free-slot-at-peer", now);
+    }
+}
+
+Milliseconds Dispatcher::Core::localWait(FlowId flow) const
+{
+    const auto rate = m_queue.backloggedShare(flow) * m_registry.slots(flow.service);
+    return Milliseconds{m_queue.queuedMs(flow) / std::max(rate, 1e-3)};
+}
+
+const std::string *Dispatcher::Core::shorterPeer(FlowId flow) const
+{
+    const auto own = m_isDraining ? Milliseconds{1e12} : localWait(flow);
+    const auto &team = m_rules.teamAt(flow.team);
+    const std::string *best = nullptr;
+    Milliseconds bestWait;
+    for (const auto &[instance, peer] : m_peers.peers()) {
+        const auto wait = PeerTable::expectedWait(peer, flow);
+        if (!wait || (m_hasQuota[flow.team] && quotaShare(team, instance) == 0))
+            continue;
+        // Another domain pays for the way there and back.
+        const auto way = peer.domain == m_settings.domain
+            ? Milliseconds{0}
+            : m_rules.delayTo(peer.domain) * 2 + WaitHysteresis;
+        if (*wait + way + WaitHysteresis < own && (best == nullptr || *wait + way < bestWait)) {
+            best = &instance;
+            bestWait = *wait + way;
+        }
+    }
+    return best;
+}
+
+void Dispatcher::Core::forwardByWait(Milliseconds now)
+{
+    for (int n = 0; n < MaxMovedInStep && m_queue.size() > 0 && !m_peers.peers().empty(); ++n) {
+        const std::string *peer = nullptr;
+        const auto ticket = m_queue.next([](std::uint32_t) { return true; },
+                                         [&](FlowId flow) {
+                                             const auto *found = shorterPeer(flow);
+                                             if (found != nullptr)
+                                                 peer = found;
+                                             return found != nullptr;
+                                         },
+                                         true);
+        if (!ticket)
+            return;
+        auto &task = m_tasks.find(m_queue.task(*ticket).handle)->second;
+        forward(task, *shorterPeer(task.flow), m_isDraining ? "draining" : "shorter-wait", now);
+    }
+}
+
+void Dispatcher::Core::forward(Task &task, const std::string &peer, std::string_view reason,
+                               Milliseconds now)
+{
+    Attempt attempt;
+    attempt.number = task.spec.attempt++;
+    attempt.peer = peer;
+    attempt.startedAt = now;
+    attempt.chargedMs = m_queue.pop(*task.ticket, now).estimateMs;
+    task.ticket.reset();
+    m_peers.sent(peer, task.flow.service, attempt.chargedMs);
+    ++m_running;
+    ++task.started;
+    ++task.sends;
+    ++m_stats.forwards;
+    task.since = now;
+    task.lastDecision = reason;
+    task.lastPlace = peer;
+    m_actions.emplace_back(ForwardTask{task.spec.handle, attempt.number, peer, reason});
+    planHedge(task, attempt.number, now);
+    task.attempts.push_back(std::move(attempt));
+}
+
+void Dispatcher::Core::takeForPeer(const std::string &instance, std::uint32_t slots,
+                                   Milliseconds now)
+{
+    const auto *peer = m_peers.find(instance);
+    if (peer == nullptr)
+        return;
+    for (std::uint32_t n = 0; n < slots && n < MaxMovedInStep && m_queue.size() > 0; ++n) {
+        const auto ticket = m_queue.next(
+            [&](std::uint32_t index) {
+                return index < peer->services.size() && peer->services[index].slots > 0;
+            },
+            [&](FlowId flow) { return !m_hasQuota[flow.team]; }, true);
+        if (!ticket)
+            return;
+        forward(m_tasks.find(m_queue.task(*ticket).handle)->second, instance, "pulled", now);
+    }
+}
+
+void Dispatcher::Core::pullWork(Milliseconds now)
+{
+    const auto free = m_registry.freeSlots();
+    const auto left =
+        static_cast<std::uint32_t>(std::lround(m_settings.headroomShare * m_registry.slots()));
+    if (m_isDraining || m_queue.size() > 0 || free <= left)
+        return;
+    const std::string *longest = nullptr;
+    double longestQueue = 0;
+    for (const auto &[instance, peer] : m_peers.peers()) {
+        const auto isDue = now - peer.pulledAt >= PeerTable::PullInterval;
+        if (!mayUsePeer(peer) || !isDue || peer.queuedTasks <= longestQueue)
+            continue;
+        longest = &instance;
+        longestQueue = peer.queuedTasks;
+    }
+    if (longest == nullptr)
+        return;
+    const auto slots = std::min(free - left, static_cast<std::uint32_t>(longestQueue));
+    m_peers.pulled(*longest, now);
+    ++m_stats.pulls;
+    m_actions.emplace_back(PullFromPeer{*longest, slots, "free-slots"});
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/FlowQueue.h
@@ -0,0 +1,216 @@
+/// @file The queue of waiting tasks: weighted fair over flows, ordered inside a flow.
+#pragma once
+
+#include "DispatchTypes.h"
+
+#include <array>
+#include <bit>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Camphor {
+
+/// A flow is the work of one team for one service. Both are small indices that the caller assigns.
+struct FlowId
+{
+    std::uint32_t service = 0;
+    std::uint32_t team = 0;
+
+    auto operator<=>(const FlowId &) const = default;
+};
+
+/// Names a queued task inside a FlowQueue until it is popped or removed.
+using QueueTicket = std::uint32_t;
+
+struct FlowQueueSettings
+{
+    /// False orders all tasks by their arrival only; a baseline for comparison.
+    bool isFair = true;
+    /// A task of lower urgency goes first when it waited longer by this much for each level.
+    Milliseconds urgencyStep{2'000};
+    /// A task goes first when it waited longer by this much for each doubling of its request's
+    /// expected work above 200 ms. Zero leaves the order of arrival.
+    Milliseconds workStep{0};
+
+    auto operator<=>(const FlowQueueSettings &) const = default;
+};
+
+struct QueuedTask
+{
+    TaskHandle handle = 0;
+    Urgency urgency = Urgency::Normal;
+    bool isForeign = false; ///< Came from a peer and must not be given to another one.
+    Milliseconds enqueuedAt;
+    double estimateMs = 0; ///< Expected slot time; charged to the flow when popped.
+    double requestWorkMs = 0; ///< Expected slot time of the whole request.
+
+    auto operator<=>(const QueuedTask &) const = default;
+};
+
+/// Weighted fair queueing in slot-milliseconds, with start-time virtual clocks on two levels:
+/// services share the pool, and the teams of a service share what the service gets.
+class FlowQueue
+{
+public:
+    explicit FlowQueue(FlowQueueSettings settings = {});
+
+    void setServiceShare(std::uint32_t service, double share);
+    void setTeamShare(std::uint32_t team, double share);
+
+    /// @param isFirst puts the task before those of the same urgency and size, for one that comes
+    /// back from a target that did not start it.
+    QueueTicket push(FlowId flow, const QueuedTask &task, bool isFirst = false);
+    /// Removes a queued task without a charge, in constant time.
+    void remove(QueueTicket ticket);
+    [[nodiscard]] const QueuedTask &task(QueueTicket ticket) const { return m_nodes[ticket].task; }
+    [[nodiscard]] FlowId flowOf(QueueTicket ticket) const { return m_nodes[ticket].flow; }
+
+    /// The next task among the flows that both predicates accept.
+    /// @param onlyLocal leaves out foreign tasks.
+    template <typename ServicePredicate, typename FlowPredicate>
+    [[nodiscard]] std::optional<QueueTicket>
+    next(ServicePredicate isServiceOpen, FlowPredicate isFlowOpen, bool onlyLocal = false) const
+    {
+        const auto wanted = onlyLocal ? LocalLists : AllLists;
+        const Flow *best = nullptr;
+        Order bestOrder;
+        for (const auto service : m_backlogged) {
+            const auto &it = m_services[service];
+            const Order order{it.inUse / it.share, it.virtualTime};
+            if ((m_settings.isFair && best != nullptr && order >= bestOrder)
+                || !isServiceOpen(service))
+                continue;
+            const Flow *candidate = nullptr;
+            Order candidateOrder;
+            for (const auto team : it.backlogged) {
+                const auto &flow = it.flows[team];
+                const auto flowOrder = orderOf(flow, team, wanted);
+                if ((flow.filled & wanted) == 0
+                    || (candidate != nullptr && flowOrder >= candidateOrder)
+                    || !isFlowOpen(FlowId{service, team}))
+                    continue;
+                candidate = &flow;
+                candidateOrder = flowOrder;
+            }
+            const auto &serviceOrder = m_settings.isFair ? order : candidateOrder;
+            if (candidate == nullptr || (best != nullptr && serviceOrder >= bestOrder))
+                continue;
+            best = candidate;
+            bestOrder = serviceOrder;
+        }
+        return best == nullptr ? std::nullopt : std::optional(firstOf(*best, wanted));
+    }
+
+    template <typename Visitor>
+    void forEachBacklogged(Visitor visit) const
+    {
+        for (const auto service : m_backlogged)
+            for (const auto team : m_services[service].backlogged)
+                visit(FlowId{service, team});
+    }
+
+    /// Takes a task out and charges its estimate to its flow.
+    QueuedTask pop(QueueTicket ticket, Milliseconds now);
+    /// Replaces a charged estimate by the slot time that was used.
+    void settle(FlowId flow, double estimateMs, double usedMs);
+
+    void slotTaken(FlowId flow);
+    void slotFreed(FlowId flow);
+    [[nodiscard]] std::uint32_t slotsInUse(FlowId flow) const;
+    [[nodiscard]] std::uint32_t teamSlotsInUse(std::uint32_t team) const;
+
+    [[nodiscard]] std::uint32_t size() const { return m_size; }
+    [[nodiscard]] std::uint32_t size(std::uint32_t service) const;
+    [[nodiscard]] double queuedMs() const { return m_queuedMs; }
+    [[nodiscard]] double queuedMs(FlowId flow) const;
+
+    /// The part of the pool that the flow gets while the backlogged flows, and itself, have work.
+    [[nodiscard]] double backloggedShare(FlowId flow) const;
+    /// The part of the pool that the flow may fill while other flows were active lately.
+    [[nodiscard]] double activeShare(FlowId flow, Milliseconds now) const;
+    /// Slot-milliseconds started for the flow per millisecond, decayed over about a second.
+    [[nodiscard]] double drainRate(FlowId flow, Milliseconds now) const;
+    /// Slot time charged to the flow so far, after corrections.
+    [[nodiscard]] double chargedMs(FlowId flow) const;
+
+    /// How long a flow counts as active after its last arrival.
+    static constexpr Milliseconds ActiveTime{5'000};
+
+private:
+    static constexpr std::uint32_t None = 0xffffffff;
+    static constexpr unsigned SizeClasses = 8;
+    static constexpr unsigned ListCount = 2 * 3 * SizeClasses;
+    static constexpr std::uint64_t AllLists = (std::uint64_t{1} << ListCount) - 1;
+    static constexpr std::uint64_t LocalLists = (std::uint64_t{1} << (ListCount / 2)) - 1;
+
+    /// Slots in use for each unit of share, then the virtual time.
+    using Order = std::pair<double, double>;
+
+    struct Node
+    {
+        QueuedTask task;
+        FlowId flow;
+        std::uint32_t list = 0;
+        std::uint32_t previous = None;
+        std::uint32_t next = None; ///< Also links the free nodes.
+    };
+
+    struct List
+    {
+        std::uint32_t first = None;
+        std::uint32_t last = None;
+    };
+
+    struct Flow
+    {
+        std::array<List, ListCount> lists;
+        std::uint64_t filled = 0; ///< Bit n is set when list n has tasks.
+        std::uint32_t queued = 0;
+        std::uint32_t inUse = 0;
+        std::uint32_t position = None; ///< In Service::backlogged.
+        double queuedMs = 0;
+        double virtualTime = 0;
+        double chargedMs = 0;
+        double rate = 0;
+        Milliseconds rateAt;
+        Milliseconds activeUntil{-1};
+    };
+
+    struct Service
+    {
+        std::vector<Flow> flows; ///< By team.
+        std::vector<std::uint32_t> backlogged; ///< Teams.
+        std::vector<std::uint32_t> known; ///< Teams that ever had work.
+        std::uint32_t position = None; ///< In m_backlogged.
+        std::uint32_t queued = 0;
+        std::uint32_t inUse = 0;
+        double share = 1;
+        double virtualTime = 0;
+        double clock = 0; ///< Virtual time of the flow served last.
+        Milliseconds activeUntil{-1};
+    };
+
+    [[nodiscard]] unsigned listOf(const QueuedTask &task) const;
+    [[nodiscard]] double delayOf(unsigned list) const { return m_delays[list]; }
+    [[nodiscard]] QueueTicket firstOf(const Flow &flow, std::uint64_t wanted) const;
+    [[nodiscard]] Order orderOf(const Flow &flow, std::uint32_t team, std::uint64_t wanted) const;
+    [[nodiscard]] const Flow *findFlow(FlowId flow) const;
+    Flow &flowFor(FlowId flow);
+    void unlink(QueueTicket ticket);
+    [[nodiscard]] double teamShare(std::uint32_t team) const;
+
+    FlowQueueSettings m_settings;
+    std::array<double, ListCount> m_delays{};
+    std::vector<Node> m_nodes;
+    std::uint32_t m_freeNode = None;
+    std::vector<Service> m_services;
+    std::vector<std::uint32_t> m_backlogged; ///< Services.
+    std::vector<double> m_teamShares;
+    std::vector<std::uint32_t> m_teamInUse;
+    std::uint32_t m_size = 0;
+    double m_queuedMs = 0;
+    double m_clock = 0; ///< Virtual time of the service served last.
+};
+
+} // namespace Camphor
--- /dev/null
+++ b/src/PlacementPolicy.cpp
@@ -0,0 +1,170 @@
+#include "PlacementPolicy.h"
+
+#include <algorithm>
+#include <bit>
+#include <random>
+
+namespace Camphor {
+
+namespace {
+
+/// Targets that the owner policy compares; more bring nothing once each rack is seen.
+constexpr std::size_t MaxCandidates = 8;
+
+/// Picks among equals.
+class Generator
+{
+public:
+    explicit Generator(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+
+    std::size_t below(std::size_t bound) { return static_cast<std::size_t>(m_engine() % bound); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+bool isAvoided(const PlacementRequest &request, TargetIndex target)
+{
+    return std::ranges::find(request.avoid, target) != request.avoid.end();
+}
+
+/// Exact knowledge of free slots: a target with the most free slots, and among some of these the
+/// one whose rack has the fewest tasks of the job.
+class OwnerPolicy : public PlacementPolicy
+{
+public:
+    explicit OwnerPolicy(std::uint64_t seed)
+        : m_generator(seed)
+    {
+    }
+
+    std::optional<TargetIndex> choose(const TargetRegistry &registry,
+                                      const PlacementRequest &request) override
+    {
+        std::optional<TargetIndex> best;
+        std::size_t seen = 0;
+        for (auto rest = registry.filledClasses(request.service); rest != 0 && !best;) {
+            const auto freeClass = static_cast<std::uint32_t>(std::bit_width(rest) - 1);
+            rest &= ~(std::uint64_t{1} << freeClass);
+            const auto &members = registry.classMembers(request.service, freeClass);
+            const auto first = m_generator.below(members.size());
+            for (std::size_t n = 0; n < members.size() && seen < MaxCandidates; ++n) {
+                const auto target = members[(first + n) % members.size()];
+                if (isAvoided(request, target))
+                    continue;
+                ++seen;
+                if (!best
+                    || rackLoad(registry, request, target) < rackLoad(registry, request, *best))
+                    best = target;
+                if (request.racks.empty() || rackLoad(registry, request, *best) == 0)
+                    break;
+            }
+        }
+        return best;
+    }
+
+private:
+    static std::uint16_t rackLoad(const TargetRegistry &registry, const PlacementRequest &request,
+                                  TargetIndex target)
+    {
+        const auto rack = registry.rack(target);
+        return rack < request.racks.size() ? request.racks[rack] : std::uint16_t{0};
+    }
+
+    Generator m_generator;
+};
+
+/// One target at random, whether it has a free slot or not.
+class RandomPolicy : public PlacementPolicy
+{
+public:
+    explicit RandomPolicy(std::uint64_t seed)
+        : m_generator(seed)
+    {
+    }
+
+    std::optional<TargetIndex> choose(const TargetRegistry &registry,
+                                      const PlacementRequest &request) override
+    {
+        const auto &members = registry.members(request.service);
+        if (members.empty())
+            return std::nullopt;
+        const auto target = members[m_generator.below(members.size())];
+        return registry.freeSlots(target, request.service) > 0 && !isAvoided(request, target)
+            ? std::optional(target)
+            : std::nullopt;
+    }
+
+private:
+    Generator m_generator;
+};
+
+/// The next target in turn, whether it has a free slot or not.
+class RoundRobinPolicy : public PlacementPolicy
+{
+public:
+    std::optional<TargetIndex> choose(const TargetRegistry &registry,
+                                      const PlacementRequest &request) override
+    {
+        const auto &members = registry.members(request.service);
+        if (members.empty())
+            return std::nullopt;
+        const auto target = members[m_turn++ % members.size()];
+        return registry.freeSlots(target, request.service) > 0 && !isAvoided(request, target)
+            ? std::optional(target)
+            : std::nullopt;
+    }
+
+private:
+    std::size_t m_turn = 0;
+};
+
+/// The freer one of two random targets.
+class ProbeTwoPolicy : public PlacementPolicy
+{
+public:
+    explicit ProbeTwoPolicy(std::uint64_t seed)
+        : m_generator(seed)
+    {
+    }
+
+    std::optional<TargetIndex> choose(const TargetRegistry &registry,
+                                      const PlacementRequest &request) override
+    {
+        const auto &members = registry.members(request.service);
+        if (members.empty())
+            return std::nullopt;
+        const auto one = members[m_generator.below(members.size())];
+        const auto two = members[m_generator.below(members.size())];
+        const auto freeOf = [&](TargetIndex it) {
+            return isAvoided(request, it) ? 0 : registry.freeSlots(it, request.service);
+        };
+        const auto target = freeOf(one) >= freeOf(two) ? one : two;
+        return freeOf(target) > 0 ? std::optional(target) : std::nullopt;
+    }
+
+private:
+    Generator m_generator;
+};
+
+} // namespace
+
+std::unique_ptr<PlacementPolicy> PlacementPolicy::make(PlacementKind kind, std::uint64_t seed)
+{
+    switch (kind) {
+    case PlacementKind::Owner:
+        return std::make_unique<OwnerPolicy>(seed);
+    case PlacementKind::Random:
+        return std::make_unique<RandomPolicy>(seed);
+    case PlacementKind::RoundRobin:
+        return std::make_unique<RoundRobinPolicy>();
+    case PlacementKind::ProbeTwo:
+        return std::make_unique<ProbeTwoPolicy>(seed);
+    }
+    return nullptr;
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/PlacementPolicy.h
@@ -0,0 +1,38 @@
+/// @file Choice of the target for a task.
+#pragma once
+
+#include "Dispatcher.h"
+#include "TargetRegistry.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Camphor {
+
+/// What a policy needs to know of a task.
+struct PlacementRequest
+{
+    std::uint32_t service = 0;
+    std::span<const TargetIndex> avoid; ///< Targets that must not be chosen.
+    /// Tasks of the same job on each rack, by rack index; empty when spreading does not matter.
+    std::span<const std::uint16_t> racks;
+};
+
+/// Chooses among the targets of a registry. A policy may find none although a slot is free.
+class PlacementPolicy
+{
+public:
+    virtual ~PlacementPolicy() = default;
+
+    [[nodiscard]] virtual std::optional<TargetIndex> choose(const TargetRegistry &registry,
+                                                            const PlacementRequest &request) = 0;
+
+    /// @param seed makes choices among equals repeatable.
+    [[nodiscard]] static std::unique_ptr<PlacementPolicy> make(PlacementKind kind,
+                                                               std::uint64_t seed);
+};
+
+} // namespace Camphor
