--- /dev/null
+++ b/src/ControlNode.cpp
@@ -0,0 +1,490 @@
+#include "ControlNode.h"
+
+#include "Log.h"
+#include "Wire.h"
+
+#include <boost/asio/post.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Camphor {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+/// A member that has heard from no leader for this long tells subscribers to ask others.
+constexpr Milliseconds StaleAfter{3'000};
+/// Longest time a subscription waits, so that a silent break of its connection is found.
+constexpr std::uint32_t MaxSubscribeWaitMs = 30'000;
+constexpr std::size_t MaxWaiters = 1'024;
+constexpr std::size_t MaxLogEntries = 1'000;
+constexpr std::size_t MaxLogBytes = std::size_t{4} * 1024 * 1024;
+constexpr Milliseconds CallTimeout{1'000};
+constexpr Milliseconds SnapshotCallTimeout{5'000};
+/// TCP retries ever more rarely during a partition; a new connection works at once after it.
+constexpr int MaxTimeoutsInRow = 3;
+
+std::chrono::microseconds toChrono(Milliseconds duration)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
+}
+
+std::string encodeCommand(const ControlCommand &command)
+{
+    const auto kind = static_cast<char>('A' + command.index());
+    return kind + std::visit([](const auto &it) { return encodeMessage(it); }, command);
+}
+
+template <typename T>
+ControlReply applyAs(ControlState &state, std::string_view bytes)
+{
+    return state.apply(decodeMessage<T>(bytes).value());
+}
+
+ControlReply applyCommand(ControlState &state, std::string_view bytes)
+{
+    CAMPHOR_ASSERT(!bytes.empty());
+    const auto body = bytes.substr(1);
+    switch (bytes.front()) {
+    case 'A':
+        return applyAs<ApplyCommand>(state, body);
+    case 'B':
+        return applyAs<CompareAndSetCommand>(state, body);
+    case 'C':
+        return applyAs<MoveBucketCommand>(state, body);
+    default:
+        throw UserError(Error{ErrorCode::Storage, "the log holds an unknown kind of command"});
+    }
+}
+
+MessageKind kindOf(const RaftMessage &message)
+{
+    if (const auto *vote = std::get_if<RaftVoteRequest>(&message))
+        return vote->isPreVote ? MessageKind::PreVote : MessageKind::Vote;
+    return std::holds_alternative<RaftSnapshotRequest>(message) ? MessageKind::InstallSnapshot
+                                                                : MessageKind::AppendEntries;
+}
+
+bool isReply(const RaftMessage &message)
+{
+    return std::holds_alternative<RaftVoteReply>(message)
+        || std::holds_alternative<RaftAppendReply>(message);
+}
+
+std::string encodeRaft(const RaftMessage &message)
+{
+    return std::visit([](const auto &it) { return encodeMessage(it); }, message);
+}
+
+const char *roleName(RaftRole role)
+{
+    switch (role) {
+    case RaftRole::Follower:
+        return "follower";
+    case RaftRole::PreCandidate:
+    case RaftRole::Candidate:
+        return "candidate";
+    case RaftRole::Leader:
+        return "leader";
+    }
+    return "follower";
+}
+
+RaftSettings makeRaftSettings(const ControlSettings &settings)
+{
+    RaftSettings raft;
+    raft.instance = settings.instance;
+    // Differing seeds keep the members' elections apart.
+    raft.seed = XXH3_64bits(settings.instance.data(), settings.instance.size())
+        ^ static_cast<std::uint64_t>(wallClockMs());
+    return raft;
+}
+
+} // namespace
+
+ControlNode::ControlNode(Asio::io_context &io, const ControlSettings &settings,
+                         std::unique_ptr<RaftStorage> storage,
+                         std::function<void(const Error &)> onFatal)
+    : m_io(io)
+    , m_strand(Asio::make_strand(io))
+    , m_settings(settings)
+    , m_storage(std::move(storage))
+    , m_core(makeRaftSettings(settings), m_storage->takeState(), m_clock.now())
+    , m_state(ControlState::decode(m_core.snapshot().data).value())
+    , m_onFatal(std::move(onFatal))
+    , m_timer(m_strand)
+{
+    m_rpcSettings.cluster = settings.cluster;
+    m_rpcSettings.instance = settings.instance;
+    m_rpcSettings.incarnation = static_cast<std::uint64_t>(wallClockMs());
+}
+
+void ControlNode::start()
+{
+    Asio::post(m_strand, [self = shared_from_this()] { self->flush(); });
+}
+
+const RaftMember *ControlNode::leader() const
+{
+    return m_core.configuration().find(m_core.leader());
+}
+
+bool ControlNode::isCurrent() const
+{
+    return m_clock.now() - m_core.lastLeaderContact() < StaleAfter && !m_hasFailed;
+}
+
+// --- Input
+
+void ControlNode::receive(const std::string &from, const RaftMessage &message, RpcReply reply)
+{
+    if (m_hasFailed) {
+        reply(Error{ErrorCode::Unavailable, "this voter has stopped"});
+        return;
+    }
+    m_openCall.emplace(from, std::move(reply));
+    m_core.receive(from, message, m_clock.now());
+    flush();
+    if (m_openCall) {
+        m_openCall->second(Error{ErrorCode::Unavailable, "this member takes no part"});
+        m_openCall.reset();
+    }
+}
+
+void ControlNode::propose(const ControlCommand &command, CommandCallback callback)
+{
+    const auto index =
+        m_hasFailed ? std::nullopt : m_core.propose(encodeCommand(command), m_clock.now());
+    if (!index) {
+        callback(std::nullopt);
+        return;
+    }
+    m_proposals[*index] = {m_core.term(), std::move(callback)};
+    scheduleFlush();
+}
+
+void ControlNode::read(std::function<void(bool)> callback)
+{
+    if (m_hasFailed || !m_core.read(++m_lastRead, m_clock.now())) {
+        callback(false);
+        return;
+    }
+    m_reads[m_lastRead] = std::move(callback);
+    scheduleFlush();
+}
+
+bool ControlNode::hasNews(const SubscribeRequest &request) const
+{
+    return m_state.version() > request.lastVersion
+        || m_state.bucketVersion() > request.lastBucketVersion;
+}
+
+SubscribeReply ControlNode::makeUpdate(const SubscribeRequest &request) const
+{
+    SubscribeReply reply;
+    if (m_state.version() > request.lastVersion)
+        reply.declaration = m_state.current();
+    reply.bucketVersion = m_state.bucketVersion();
+    if (reply.bucketVersion > request.lastBucketVersion)
+        reply.buckets = m_state.buckets();
+    reply.isCurrent = isCurrent();
+    return reply;
+}
+
+void ControlNode::subscribe(const SubscribeRequest &request,
+                            std::function<void(SubscribeReply)> callback)
+{
+    if (hasNews(request) || !isCurrent() || m_waiters.size() >= MaxWaiters) {
+        callback(makeUpdate(request));
+        return;
+    }
+    Waiter waiter{
+        request, std::move(callback),
+        std::make_unique<Asio::steady_timer>(
+            m_strand, std::chrono::milliseconds(std::min(request.maxWaitMs, MaxSubscribeWaitMs)))};
+    const auto it = m_waiters.insert(m_waiters.end(), std::move(waiter));
+    it->timer->async_wait([self = shared_from_this(), it](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        const auto done = std::move(*it);
+        self->m_waiters.erase(it);
+        done.callback(self->makeUpdate(done.request));
+    });
+}
+
+Status ControlNode::addMember(const RaftMember &member)
+{
+    auto status = m_core.addMember(member, m_clock.now());
+    scheduleFlush();
+    return status;
+}
+
+Status ControlNode::removeMember(const std::string &instance)
+{
+    auto status = m_core.removeMember(instance, m_clock.now());
+    scheduleFlush();
+    return status;
+}
+
+// --- Carrying out actions
+
+void ControlNode::scheduleFlush()
+{
+    // Commands that arrive during a sync are written together by the next one.
+    if (std::exchange(m_isFlushScheduled, true))
+        return;
+    Asio::post(m_strand, [self = shared_from_this()] { self->flush(); });
+}
+
+void ControlNode::flush()
+{
+    m_isFlushScheduled = false;
+    if (m_hasFailed)
+        return;
+    for (;;) {
+        const auto actions = m_core.takeActions();
+        if (actions.isEmpty() && !compactIfLarge())
+            break;
+        if (!carryOut(actions))
+            return;
+        m_core.persisted(m_clock.now());
+    }
+    if (!m_hasFailed)
+        afterFlush();
+}
+
+bool ControlNode::carryOut(const RaftActions &actions)
+{
+    if (const auto status = m_storage->persist(actions, m_core); !status) {
+        fail(status.error());
+        return false;
+    }
+    if (actions.snapshot && !restore(*actions.snapshot))
+        return false;
+    for (const auto &outgoing : actions.messages)
+        deliver(outgoing);
+    for (const auto &entry : actions.committed)
+        applyEntry(entry);
+    answerReads(actions.reads);
+    return !m_hasFailed;
+}
+
+void ControlNode::deliver(const RaftOutgoing &outgoing)
+{
+    if (isReply(outgoing.message)) {
+        // Replies come only from receive(), which keeps the call open.
+        if (m_openCall && m_openCall->first == outgoing.to) {
+            m_openCall->second(encodeRaft(outgoing.message));
+            m_openCall.reset();
+        }
+        return;
+    }
+    const auto *member = m_core.configuration().find(outgoing.to);
+    if (member == nullptr)
+        return;
+    const auto kind = kindOf(outgoing.message);
+    const auto timeout = kind == MessageKind::InstallSnapshot ? SnapshotCallTimeout : CallTimeout;
+    peerOf(*member).client->call(
+        kind, encodeRaft(outgoing.message), timeout,
+        [self = shared_from_this(), peer = outgoing.to, kind](RpcResult result) {
+            Asio::post(self->m_strand, [self, peer, kind, result = std::move(result)] {
+                self->onPeerResult(peer, kind, result);
+            });
+        });
+}
+
+ControlNode::Peer &ControlNode::peerOf(const RaftMember &member)
+{
+    auto &peer = m_peers[member.instance];
+    const auto address = Address::parse(member.address).value();
+    if (!peer.client || peer.client->address() != address) {
+        peer.client = RpcClient::make(m_io, address, m_rpcSettings);
+        peer.timeouts = 0;
+    }
+    return peer;
+}
+
+void ControlNode::onPeerResult(const std::string &name, MessageKind kind, const RpcResult &result)
+{
+    if (m_hasFailed)
+        return;
+    auto &peer = m_peers[name];
+    if (const auto *failure = std::get_if<RpcFailure>(&result)) {
+        if (failure->error.code == ErrorCode::Timeout && ++peer.timeouts >= MaxTimeoutsInRow
+            && peer.client) {
+            peer.client->stop();
+            peer = {};
+        }
+        return;
+    }
+    peer.timeouts = 0;
+    const auto &payload = std::get<std::string>(result);
+    if (kind == MessageKind::PreVote || kind == MessageKind::Vote) {
+        if (const auto reply = decodeMessage<RaftVoteReply>(payload))
+            m_core.receive(name, reply.value(), m_clock.now());
+    } else if (const auto reply = decodeMessage<RaftAppendReply>(payload)) {
+        m_core.receive(name, reply.value(), m_clock.now());
+    }
+    flush();
+}
+
+void ControlNode::applyEntry(const RaftEntry &entry)
+{
+    std::optional<ControlReply> reply;
+    if (entry.kind == RaftEntryKind::Command)
+        reply = applyCommand(m_state, entry.data);
+    const auto it = m_proposals.find(entry.index);
+    if (it == m_proposals.end())
+        return;
+    auto proposal = std::move(it->second);
+    m_proposals.erase(it);
+    // Another leader's entry in this place means that the proposal was dropped.
+    proposal.callback(proposal.term == entry.term ? reply : std::nullopt);
+}
+
+bool ControlNode::restore(const RaftSnapshot &snapshot)
+{
+    auto state = ControlState::decode(snapshot.data);
+    if (!state) {
+        fail(Error{ErrorCode::InvalidMessage, "received snapshot: " + state.error().message});
+        return false;
+    }
+    m_state = std::move(state).value();
+    return true;
+}
+
+void ControlNode::answerReads(const std::vector<RaftReadResult> &results)
+{
+    for (const auto &result : results) {
+        const auto node = m_reads.extract(result.id);
+        if (!node.empty())
+            node.mapped()(result.isConfirmed);
+    }
+}
+
+void ControlNode::afterFlush()
+{
+    if (!m_core.isLeader()) {
+        for (auto &[index, proposal] : std::exchange(m_proposals, {}))
+            proposal.callback(std::nullopt);
+    }
+    for (auto it = m_waiters.begin(); it != m_waiters.end();) {
+        if (!hasNews(it->request) && isCurrent()) {
+            ++it;
+            continue;
+        }
+        it->timer->cancel();
+        it->callback(makeUpdate(it->request));
+        it = m_waiters.erase(it);
+    }
+    if (m_core.role() != m_loggedRole || m_core.leader() != m_loggedLeader) {
+        m_loggedRole = m_core.role();
+        m_loggedLeader = m_core.leader();
+        Log::info("role-changed")
+            .kv("role", roleName(m_loggedRole))
+            .kv("term", m_core.term())
+            .kv("leader", m_loggedLeader);
+    }
+    if (m_core.hasLostDisk() && !std::exchange(m_isLostDiskLogged, true))
+        Log::error("disk-lost")
+            .kv("instance", m_settings.instance)
+            .kv("fix", "remove this member from the group and add one with a new name");
+    armTimer();
+}
+
+bool ControlNode::compactIfLarge()
+{
+    const auto entries = m_core.lastIndex() - m_core.snapshotIndex();
+    const bool isLarge = m_core.logBytes() > MaxLogBytes || entries > MaxLogEntries;
+    if (!isLarge || m_core.appliedIndex() == m_core.snapshotIndex())
+        return false;
+    (void)m_core.compact(m_core.appliedIndex(), m_state.encode());
+    if (const auto status = m_storage->rewrite(m_core.diskState()); !status) {
+        fail(status.error());
+        return true;
+    }
+    Log::info("log-compacted")
+        .kv("index", m_core.snapshotIndex())
+        .kv("bytes", m_storage->fileBytes());
+    return false;
+}
+
+void ControlNode::armTimer()
+{
+    constexpr Milliseconds MinWait{1};
+    const auto wait = std::max(MinWait, m_core.nextDeadline() - m_clock.now());
+    m_timer.expires_after(toChrono(wait));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+        if (ec || self->m_hasFailed)
+            return;
+        self->m_core.tick(self->m_clock.now());
+        self->flush();
+    });
+}
+
+void ControlNode::fail(const Error &error)
+{
+    // Nothing is answered from here on: an answer could promise what the disk does not hold.
+    m_hasFailed = true;
+    m_timer.cancel();
+    Log::error("voter-stopped").kv("instance", m_settings.instance).kv("reason", error.message);
+    m_onFatal(error);
+}
+
+std::string ControlNode::statusJson() const
+{
+    nlohmann::json status{{"instance", m_settings.instance},
+                          {"role", roleName(m_core.role())},
+                          {"term", m_core.term()},
+                          {"leader", m_core.leader()},
+                          {"isCurrent", isCurrent()},
+                          {"version", m_state.version()},
+                          {"commitIndex", m_core.commitIndex()},
+                          {"lastIndex", m_core.lastIndex()},
+                          {"snapshotIndex", m_core.snapshotIndex()},
+                          {"fileBytes", m_storage->fileBytes()},
+                          {"hasLostDisk", m_core.hasLostDisk()},
+                          {"members", nlohmann::json::array()},
+                          {"replicaSets", nlohmann::json::object()},
+                          {"buckets", nlohmann::json::object()},
+                          {"warnings", nlohmann::json::array()}};
+    for (const auto &member : m_core.configuration().members) {
+        nlohmann::json item{{"instance", member.instance},
+                            {"address", member.address},
+                            {"operatorAddress", member.operatorAddress},
+                            {"voter", member.isVoter}};
+        if (m_core.isLeader())
+            item["matchIndex"] = m_core.matchIndex(member.instance);
+        status["members"].push_back(std::move(item));
+    }
+    for (const auto &[domain, set] : m_state.replicaSets()) {
+        auto backups = nlohmann::json::array();
+        for (const auto &backup : set.backups)
+            backups.push_back(backup.instance);
+        status["replicaSets"][domain] = {
+            {"epoch", set.epoch}, {"primary", set.primary.instance}, {"backups", backups}};
+        if (set.backups.empty())
+            status["warnings"].push_back("the ledger of domain '" + domain
+                                         + "' has no in-sync backup");
+    }
+    std::map<std::string, std::pair<int, int>> counts;
+    for (const auto &home : m_state.buckets()) {
+        ++counts[home.domain].first;
+        counts[home.domain].second += home.movingTo.empty() ? 0 : 1;
+    }
+    for (const auto &[domain, count] : counts)
+        status["buckets"][domain] = {{"count", count.first}, {"moving", count.second}};
+    if (m_core.configuration().members.empty())
+        status["warnings"].push_back("this member waits to be added to a group");
+    else if (m_core.configuration().voterCount() < 3)
+        status["warnings"].push_back("fewer than 3 voters: the loss of one disk loses the state");
+    return status.dump();
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/ControlState.cpp
@@ -0,0 +1,293 @@
+#include "ControlState.h"
+
+#include "LedgerHome.h"
+#include "Wire.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace Camphor {
+
+namespace {
+
+std::uint64_t hashOf(const std::string &text) { return XXH3_64bits(text.data(), text.size()); }
+
+/// The parts of the state that the others are computed from.
+struct StoredControlState
+{
+    std::vector<VersionRecord> history;
+    std::vector<std::string> answered;
+    std::vector<std::string> domains;
+    std::vector<ReplicaSet> replicaSets;
+    std::vector<BucketHome> buckets;
+    std::vector<std::string> declared;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(history, answered, domains, replicaSets, buckets, declared);
+    }
+};
+
+} // namespace
+
+const char *controlOutcomeName(ControlOutcome outcome)
+{
+    switch (outcome) {
+    case ControlOutcome::Accepted:
+        return "accepted";
+    case ControlOutcome::Conflict:
+        return "conflict";
+    case ControlOutcome::Invalid:
+        return "invalid";
+    case ControlOutcome::NotLeader:
+        return "not-leader";
+    case ControlOutcome::Unknown:
+        return "unknown";
+    case ControlOutcome::Unavailable:
+        return "unavailable";
+    case ControlOutcome::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+std::uint64_t ControlState::version() const
+{
+    return m_history.empty() ? 0 : m_history.back().version;
+}
+
+VersionedDeclaration ControlState::current() const
+{
+    if (m_history.empty())
+        return {};
+    return {m_history.back().version, m_history.back().text};
+}
+
+std::optional<std::string> ControlState::text(std::uint64_t version) const
+{
+    if (m_history.empty() || version < m_history.front().version || version > this->version())
+        return std::nullopt;
+    const auto &record = m_history.at(version - m_history.front().version);
+    if (record.text.empty())
+        return std::nullopt;
+    return record.text;
+}
+
+ReplicaSet ControlState::replicaSet(const std::string &domain) const
+{
+    const auto it = m_replicaSets.find(domain);
+    return it == m_replicaSets.end() ? ReplicaSet{} : it->second;
+}
+
+ApplyReply ControlState::apply(const ApplyCommand &command)
+{
+    const auto hash = hashOf(command.text);
+    if (const auto it = m_answeredById.find(command.requestId); it != m_answeredById.end()) {
+        const auto &first = m_answered.at(it->second - m_firstAnswer);
+        if (first.textHash == hash && first.expectedVersion == command.expectedVersion)
+            return first.reply;
+        return {ControlOutcome::Invalid,
+                0,
+                command.expectedVersion,
+                version(),
+                "this request id was used for another change. Fix: use a new request id",
+                {}};
+    }
+    const auto reply = decide(command, hash);
+    remember(command, hash, reply);
+    return reply;
+}
+
+ApplyReply ControlState::decide(const ApplyCommand &command, std::uint64_t hash)
+{
+    ApplyReply reply{
+        ControlOutcome::Accepted, version(), command.expectedVersion, version(), {}, {}};
+    const bool isEqualText = !m_history.empty() && m_history.back().textHash == hash
+        && m_history.back().text == command.text;
+    // Both the operator who names the current version and the one who lost a race against the
+    // same text already have what they asked for.
+    if (isEqualText
+        && (command.expectedVersion == version() || command.expectedVersion + 1 == version()))
+        return reply;
+    if (command.expectedVersion != version()) {
+        reply.outcome = ControlOutcome::Conflict;
+        reply.version = 0;
+        reply.message = "the change is for version " + std::to_string(command.expectedVersion)
+            + ", but version " + std::to_string(version())
+            + " is in force. Fix: compare the two with 'camphorctl diff' and apply again";
+        return reply;
+    }
+    if (auto problem = domainProblem(command.domains); !problem.empty()) {
+        reply.outcome = ControlOutcome::Invalid;
+        reply.version = 0;
+        reply.message = std::move(problem);
+        return reply;
+    }
+    accept(command, hash);
+    reply.version = reply.currentVersion = version();
+    return reply;
+}
+
+std::string ControlState::domainProblem(const std::vector<std::string> &domains) const
+{
+    const auto isDeclared = [&](const std::string &domain) {
+        return domain.empty() || std::ranges::find(domains, domain) != domains.end();
+    };
+    const auto it = std::ranges::find_if(m_buckets, [&](const BucketHome &home) {
+        return !isDeclared(home.domain) || !isDeclared(home.movingTo);
+    });
+    if (it == m_buckets.end())
+        return {};
+    return "failure domain '" + (isDeclared(it->domain) ? it->movingTo : it->domain)
+        + "' is the home of key buckets and can't be removed. Fix: keep it in 'domains' and move "
+          "its buckets first";
+}
+
+void ControlState::accept(const ApplyCommand &command, std::uint64_t hash)
+{
+    m_history.push_back({version() + 1, command.requestId, hash, command.text.size(),
+                         command.timeMs, command.text});
+    m_keptTextBytes += command.text.size();
+    while (m_keptTextBytes > MaxKeptTextBytes && m_droppedTexts + 1 < m_history.size()) {
+        auto &record = m_history.at(m_droppedTexts++);
+        m_keptTextBytes -= record.text.size();
+        record.text = {};
+    }
+    if (m_history.size() > MaxRecords) {
+        m_keptTextBytes -= m_history.front().text.size();
+        m_droppedTexts -= m_droppedTexts > 0 ? 1 : 0;
+        m_history.pop_front();
+    }
+    m_domains = {command.domains.begin(), command.domains.end()};
+    if (m_buckets.empty() && !command.domains.empty()) {
+        auto domains = command.domains;
+        std::ranges::sort(domains);
+        // The same spread as BucketMap::spread(), which entries use until they know this map.
+        for (std::size_t n = 0; n < KeyBuckets; ++n)
+            m_buckets.push_back({domains[n * domains.size() / KeyBuckets], {}, 0});
+    }
+}
+
+void ControlState::remember(const ApplyCommand &command, std::uint64_t hash,
+                            const ApplyReply &reply)
+{
+    m_answeredById[command.requestId] = m_firstAnswer + m_answered.size();
+    m_answered.push_back({command.requestId, command.expectedVersion, hash, reply});
+    if (m_answered.size() > MaxRequests) {
+        m_answeredById.erase(m_answered.front().requestId);
+        m_answered.pop_front();
+        ++m_firstAnswer;
+    }
+}
+
+ReplicaSetReply ControlState::apply(const CompareAndSetCommand &command)
+{
+    auto &current = m_replicaSets[command.domain];
+    // A resend after a lost answer finds its own change in force.
+    const bool isRepeated = command.expectedEpoch + 1 == current.epoch && command.next == current;
+    if (isRepeated)
+        return {ControlOutcome::Accepted, current, {}, {}};
+    if (command.expectedEpoch != current.epoch) {
+        return {ControlOutcome::Conflict,
+                current,
+                "expected epoch " + std::to_string(command.expectedEpoch) + ", found "
+                    + std::to_string(current.epoch),
+                {}};
+    }
+    if (command.next.epoch != command.expectedEpoch + 1)
+        return {ControlOutcome::Invalid, current, "the new epoch must be the next one", {}};
+    current = command.next;
+    return {ControlOutcome::Accepted, current, {}, {}};
+}
+
+MoveBucketReply ControlState::apply(const MoveBucketCommand &command)
+{
+    if (command.bucket >= m_buckets.size())
+        return {ControlOutcome::Invalid, {}, "there is no such bucket", {}};
+    auto &home = m_buckets[command.bucket];
+    if (command.expectedEpoch != home.epoch) {
+        return {ControlOutcome::Conflict,
+                home,
+                "expected epoch " + std::to_string(command.expectedEpoch) + ", found "
+                    + std::to_string(home.epoch),
+                {}};
+    }
+    const bool isMoving = !home.movingTo.empty();
+    if (isMoving == (command.step == BucketStep::Start))
+        return {ControlOutcome::Invalid,
+                home,
+                isMoving ? "the bucket is moving already" : "the bucket is not moving",
+                {}};
+    if (command.step == BucketStep::Start) {
+        if (command.to == home.domain || command.to.empty())
+            return {ControlOutcome::Invalid, home, "the bucket is there already", {}};
+        if (!m_domains.contains(command.to))
+            return {ControlOutcome::Invalid, home, "the failure domain is not declared", {}};
+        home.movingTo = command.to;
+    } else {
+        if (command.step == BucketStep::Finish)
+            home.domain = home.movingTo;
+        home.movingTo.clear();
+    }
+    ++home.epoch;
+    return {ControlOutcome::Accepted, home, {}, {}};
+}
+
+std::uint64_t ControlState::bucketVersion() const
+{
+    return std::accumulate(
+        m_buckets.begin(), m_buckets.end(), std::uint64_t{m_buckets.empty() ? 0U : 1U},
+        [](std::uint64_t sum, const BucketHome &home) { return sum + home.epoch; });
+}
+
+std::string ControlState::encode() const
+{
+    StoredControlState stored;
+    stored.history.assign(m_history.begin(), m_history.end());
+    std::ranges::transform(m_answered, std::back_inserter(stored.answered),
+                           [](const Answered &it) { return encodeMessage(it); });
+    for (const auto &[domain, set] : m_replicaSets) {
+        stored.domains.push_back(domain);
+        stored.replicaSets.push_back(set);
+    }
+    stored.buckets = m_buckets;
+    stored.declared.assign(m_domains.begin(), m_domains.end());
+    return encodeMessage(stored);
+}
+
+Result<ControlState> ControlState::decode(std::string_view bytes)
+{
+    ControlState state;
+    // The state before the first entry has no bytes.
+    if (bytes.empty())
+        return state;
+    auto decoded = decodeMessage<StoredControlState>(bytes);
+    if (!decoded)
+        return decoded.error();
+    auto stored = std::move(decoded).value();
+    if (stored.domains.size() != stored.replicaSets.size())
+        return Error{ErrorCode::InvalidMessage, "replica sets without domain"};
+    for (auto &record : stored.history) {
+        state.m_keptTextBytes += record.text.size();
+        state.m_droppedTexts += record.text.empty() ? 1 : 0;
+        state.m_history.push_back(std::move(record));
+    }
+    for (const auto &it : stored.answered) {
+        auto answered = decodeMessage<Answered>(it);
+        if (!answered)
+            return answered.error();
+        state.m_answeredById[answered.value().requestId] = state.m_answered.size();
+        state.m_answered.push_back(std::move(answered).value());
+    }
+    for (std::size_t n = 0; n < stored.domains.size(); ++n)
+        state.m_replicaSets[stored.domains[n]] = stored.replicaSets[n];
+    state.m_buckets = std::move(stored.buckets);
+    state.m_domains.insert(stored.declared.begin(), stored.declared.end());
+    return state;
+}
+
+} // namespace Camphor
