Never start a task of a keyed submission twice

Cause: a request with a key on a repeatable service was marked as repeatable for the dispatcher, so a lost connection could start it a second time. Change: only requests without a claim may be retried or hedged after a send.

--- a/src/SubmissionFlow.cpp
+++ b/src/SubmissionFlow.cpp
@@ -309,8 +309,8 @@
     spec.urgency =
         submission.urgency.value_or(service == nullptr ? Urgency::Normal : service->urgency);
     spec.deadline = execution->deadline;
-    spec.isRepeatable =
-        submission.isRepeatable.value_or(service != nullptr && service->isRepeatable);
+    // No task of a submission with a key starts twice, even where its service may repeat work.
+    spec.isRepeatable = !execution->isClaimed;
     spec.isJobTask = submission.isJob;
     std::vector<PlacedTask> tasks;
     tasks.reserve(submission.inputs.size());
