Add the ledger's files, server and program

The core needs durable files and sockets.

SyncedFile is the interface behind which tests inject sync errors, a full disk and crashes.

The control group as replica set store is not wired yet.

--- /dev/null
+++ b/programs/camphorspindle-ledger.cpp
@@ -0,0 +1,124 @@
+/// @file camphorspindle-ledger: one replica of a failure domain's submission ledger.
+#include "CommandLine.h"
+#include "CommonSettings.h"
+#include "LedgerServer.h"
+#include "Log.h"
+#include "ProcessRunner.h"
+#include "StaticReplicaSetStore.h"
+#include "Time.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+
+namespace {
+
+using namespace Camphor;
+
+/// Longest wait for calls that are on their way at the end.
+constexpr Milliseconds DrainLimit{2'000};
+
+struct ProgramSettings
+{
+    LogSettings log;
+    LedgerServerSettings server;
+    std::string dataFolder;
+    std::vector<Address> control;
+    std::optional<ReplicaSet> replicaSet;
+};
+
+ReplicaMember readMember(SettingsNode &node)
+{
+    ReplicaMember member;
+    member.instance = node.string("instance");
+    member.address = readAddress(node, "address").toString();
+    node.checkNoUnknownKeys();
+    return member;
+}
+
+ReplicaSet readReplicaSet(SettingsNode node, const std::string &instance)
+{
+    ReplicaSet set;
+    auto primary = node.child("primary");
+    set.primary = readMember(primary);
+    for (auto &backup : node.list("backups"))
+        set.backups.push_back(readMember(backup));
+    node.checkNoUnknownKeys();
+    const bool isNamed = set.primary.instance == instance
+        || std::ranges::any_of(set.backups,
+                               [&](const auto &it) { return it.instance == instance; });
+    if (!isNamed) {
+        throw UserError(node.errorAt("primary",
+                                     "the set does not name the instance '" + instance + "'",
+                                     "name it as the primary or as one of the backups"));
+    }
+    return set;
+}
+
+ProgramSettings readSettings(const std::string &path)
+{
+    auto root = SettingsNode::load(path).value();
+    ProgramSettings settings;
+    settings.log = readLogSettings(root);
+    settings.server.instance = root.string("instance");
+    settings.server.cluster = root.string("cluster");
+    settings.server.domain = root.string("domain");
+    settings.server.listen = readAddress(root, "listen");
+    settings.server.incarnation = static_cast<std::uint64_t>(wallClockMs());
+    settings.dataFolder = root.string("dataFolder", "");
+    if (root.has("control"))
+        settings.control = readAddresses(root, "control");
+    if (root.has("replicaSet"))
+        settings.replicaSet = readReplicaSet(root.child("replicaSet"), settings.server.instance);
+    root.checkNoUnknownKeys();
+    if (settings.control.empty() != settings.replicaSet.has_value()) {
+        throw UserError(root.errorAt("", "exactly one of 'control' and 'replicaSet' is needed",
+                                     "write the addresses of the control group under 'control', or "
+                                     "a fixed set under 'replicaSet'"));
+    }
+    return settings;
+}
+
+int run(const ProgramSettings &settings)
+{
+    boost::asio::io_context io;
+    std::shared_ptr<SyncedFolder> folder;
+    if (!settings.dataFolder.empty())
+        folder = SyncedFolder::open(settings.dataFolder).value();
+    else
+        Log::warning("ledger-without-disk").kv("effect", "claims are lost with the last replica");
+    const auto server = LedgerServer::make(io, settings.server, folder,
+                                           [&](const ReplicaMember &self, std::uint64_t lastEpoch) {
+                                               return std::make_shared<StaticReplicaSetStore>(
+                                                   *settings.replicaSet, self, lastEpoch);
+                                           })
+                            .value();
+    Log::info("listening").kv("port", server->port());
+    runUntilDrained(io, 2, [&] { server->drain(DrainLimit, [&io] { io.stop(); }); });
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runProgram("camphorspindle-ledger", [&] {
+        const CommandLineSpec spec{"camphorspindle-ledger",
+                                   "Remembers the submissions of one failure domain.",
+                                   "--settings FILE", serverOptions()};
+        const auto line = parseCommandLine(spec, argc, argv);
+        if (!line.has("settings")) {
+            std::cerr << "camphorspindle-ledger: --settings FILE is needed\n";
+            return UsageExitCode;
+        }
+        const auto settings = readSettings(line.value("settings"));
+        if (line.has("check"))
+            return 0;
+        startLog(settings.log);
+        const auto code = run(settings);
+        stopLog();
+        return code;
+    });
+}
--- /dev/null
+++ b/src/LedgerServer.cpp
@@ -0,0 +1,652 @@
+#include "LedgerServer.h"
+
+#include "LedgerJournal.h"
+#include "Log.h"
+#include "RpcClient.h"
+#include "Wire.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace Camphor {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+/// Between two ticks without another event.
+constexpr Milliseconds TickEvery{10};
+/// Longest wait for the reply of another replica. Longer than a slow sync, because the lease and
+/// not this limit decides whether a replica counts as lost.
+constexpr Milliseconds ReplicaCallTimeout{2'000};
+/// Bytes of claims that one step of a snapshot copies while calls wait.
+constexpr std::size_t SnapshotStepBytes = std::size_t{512} * 1024;
+
+std::chrono::microseconds toChrono(Milliseconds duration)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
+}
+
+/// Runs jobs that block, one after the other, on its own thread. A job must not own the object that
+/// owns the thread, because a thread cannot wait for its own end.
+class DiskThread
+{
+public:
+    DiskThread()
+        : m_thread([this](const std::stop_token &stop) { run(stop); })
+    {
+    }
+
+    void post(std::function<void()> job)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_jobs.push_back(std::move(job));
+        }
+        m_wake.notify_one();
+    }
+
+private:
+    void run(const std::stop_token &stop)
+    {
+        while (true) {
+            std::function<void()> job;
+            {
+                std::unique_lock lock(m_mutex);
+                if (!m_wake.wait(lock, stop, [&] { return !m_jobs.empty(); }))
+                    return;
+                job = std::move(m_jobs.front());
+                m_jobs.pop_front();
+            }
+            job();
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable_any m_wake;
+    std::deque<std::function<void()>> m_jobs;
+    std::jthread m_thread; ///< Last, so that it ends before what it uses.
+};
+
+class RpcLedgerServer : public LedgerServer, public std::enable_shared_from_this<RpcLedgerServer>
+{
+public:
+    RpcLedgerServer(Asio::io_context &io, LedgerServerSettings settings)
+        : m_io(io)
+        , m_strand(Asio::make_strand(io))
+        , m_timer(m_strand)
+        , m_settings(std::move(settings))
+    {
+    }
+
+    Status start(std::shared_ptr<SyncedFolder> folder, const ReplicaSetStoreFactory &makeStore)
+    {
+        LedgerLog log(m_settings.retention);
+        m_folder = std::move(folder);
+        if (m_folder) {
+            auto journal = LedgerJournal::open(m_folder, m_settings.retention, log);
+            if (!journal)
+                return journal.error();
+            m_journal = std::move(journal).value();
+            m_disk = std::make_unique<DiskThread>();
+            m_snapshotDisk = std::make_unique<DiskThread>();
+        }
+        m_rpc.cluster = m_settings.cluster;
+        m_rpc.instance = m_settings.instance;
+        m_rpc.incarnation = m_settings.incarnation;
+        m_rpc.maxConnections = m_settings.maxConnections;
+        auto server = RpcServer::make(
+            m_io, m_settings.listen, m_rpc,
+            [weak = weak_from_this()](const Hello &peer, MessageKind kind, std::string payload,
+                                      RpcReply reply) {
+                if (const auto self = weak.lock())
+                    self->onRequest(peer, kind, std::move(payload), std::move(reply));
+            });
+        if (!server)
+            return server.error();
+        m_server = std::move(server).value();
+        LedgerReplicaSettings replica;
+        replica.instance = m_settings.instance;
+        replica.domain = m_settings.domain;
+        replica.address = Address{m_settings.listen.host, m_server->port()}.toString();
+        replica.incarnation = m_settings.incarnation;
+        replica.hasDisk = m_folder != nullptr;
+        replica.timing = m_settings.timing;
+        replica.retention = m_settings.retention;
+        Log::info("ledger-recovered")
+            .kv("claims", log.state().size())
+            .kv("last", log.last())
+            .kv("epoch", log.promisedEpoch())
+            .kv("disk", m_folder ? "yes" : "no");
+        m_replica = std::make_unique<LedgerReplica>(replica, std::move(log), m_clock.now());
+        m_store = makeStore(m_replica->self(), m_replica->log().promisedEpoch());
+        Asio::post(m_strand, [self = shared_from_this()] { self->onTimer(); });
+        return okStatus();
+    }
+
+    [[nodiscard]] std::uint16_t port() const override { return m_server->port(); }
+
+    void setRetention(const RetentionDeclaration &retention) override
+    {
+        Asio::post(m_strand, [self = shared_from_this(), retention] {
+            self->m_replica->setRetention(retention);
+        });
+    }
+
+    void drain(Milliseconds limit, std::function<void()> onDone) override
+    {
+        Asio::post(m_strand, [self = shared_from_this(), limit, onDone = std::move(onDone)] {
+            Log::info("ledger-draining").kv("waiting", self->m_calls.size());
+            self->m_drainEnd = self->m_clock.now() + limit;
+            self->m_onDrained = onDone;
+        });
+    }
+
+private:
+    using Strand = Asio::strand<Asio::io_context::executor_type>;
+
+    // Requests.
+
+    void onRequest(const Hello &peer, MessageKind kind, std::string payload, RpcReply reply)
+    {
+        Asio::post(m_strand,
+                   [self = shared_from_this(), peer, kind, payload = std::move(payload),
+                    reply = std::move(reply)]() mutable {
+                       self->handle(peer, kind, payload, std::move(reply));
+                   });
+    }
+
+    void handle(const Hello &peer, MessageKind kind, const std::string &payload, RpcReply reply)
+    {
+        if (m_isStopped
+            || (m_onDrained && kind != MessageKind::Replicate && kind != MessageKind::LeaseRenew)) {
+            reply(Error{ErrorCode::Unavailable, "the ledger stops"});
+            return;
+        }
+        switch (kind) {
+        case MessageKind::Claim:
+            handleClaim(peer, payload, std::move(reply));
+            break;
+        case MessageKind::Finish:
+            handleFinish(peer, payload, std::move(reply));
+            break;
+        case MessageKind::Query:
+            handleQuery(peer, payload, std::move(reply));
+            break;
+        case MessageKind::LedgerStatus:
+            handleStatus(reply);
+            break;
+        case MessageKind::Replicate:
+        case MessageKind::LeaseRenew:
+            handleReplicate(peer, kind, payload, std::move(reply));
+            break;
+        case MessageKind::Catchup:
+            handleCatchup(peer, payload, std::move(reply));
+            break;
+        default:
+            refuse(peer, reply, "unknown kind of message");
+            break;
+        }
+        settle();
+    }
+
+    void refuse(const Hello &peer, const RpcReply &reply, const std::string &reason)
+    {
+        ++m_refusedMessages;
+        Log::warning("ledger-message-refused").kv("peer", peer.instance).kv("reason", reason);
+        reply(Error{ErrorCode::InvalidMessage, reason});
+    }
+
+    static bool isValidKey(const std::string &key)
+    {
+        return !key.empty() && key.size() <= MaxKeyBytes;
+    }
+
+    void handleClaim(const Hello &peer, const std::string &payload, RpcReply reply)
+    {
+        const auto request = decodeMessage<ClaimRequest>(payload);
+        if (!request || !isValidKey(request.value().key) || request.value().nonce.empty()) {
+            refuse(peer, reply, "malformed claim");
+            return;
+        }
+        const auto call = keep(std::move(reply));
+        m_replica->claim(call, request.value(), static_cast<std::int64_t>(wallClockMs()),
+                         m_clock.now());
+    }
+
+    void handleFinish(const Hello &peer, const std::string &payload, RpcReply reply)
+    {
+        const auto request = decodeMessage<FinishRequest>(payload);
+        if (!request || !isValidKey(request.value().key)
+            || request.value().outcome > Outcome::Unknown
+            || request.value().outcome < Outcome::NotRun) {
+            refuse(peer, reply, "malformed finish");
+            return;
+        }
+        const auto call = keep(std::move(reply));
+        m_replica->finish(call, request.value(), m_clock.now());
+    }
+
+    void handleQuery(const Hello &peer, const std::string &payload, RpcReply reply)
+    {
+        const auto request = decodeMessage<QueryRequest>(payload);
+        if (!request || !isValidKey(request.value().key)) {
+            refuse(peer, reply, "malformed query");
+            return;
+        }
+        const auto call = keep(std::move(reply));
+        m_replica->query(call, request.value(), static_cast<std::int64_t>(wallClockMs()),
+                         m_clock.now());
+    }
+
+    void handleStatus(const RpcReply &reply)
+    {
+        auto status = m_replica->status(m_clock.now());
+        status.syncs = m_syncs;
+        status.refusedMessages += m_refusedMessages + m_server->refusedPeers();
+        reply(encodeMessage(status));
+    }
+
+    void handleReplicate(const Hello &peer, MessageKind kind, const std::string &payload,
+                         RpcReply reply)
+    {
+        const auto request = decodeMessage<ReplicateRequest>(payload);
+        if (!request || (kind == MessageKind::LeaseRenew) != request.value().entries.empty()) {
+            refuse(peer, reply, "malformed replication message");
+        } else if (peer.instance != request.value().set.primary.instance) {
+            refuse(peer, reply, "the sender is not the primary that it names");
+        } else {
+            const auto call = keep(std::move(reply));
+            m_replica->replicateReceived(call, request.value(), m_clock.now());
+        }
+    }
+
+    void handleCatchup(const Hello &peer, const std::string &payload, RpcReply reply)
+    {
+        const auto request = decodeMessage<CatchupRequest>(payload);
+        if (!request || !Address::parse(request.value().member.address)) {
+            refuse(peer, reply, "malformed catch-up message");
+        } else if (peer.instance != request.value().member.instance
+                   || request.value().domain != m_settings.domain) {
+            refuse(peer, reply, "the sender is not a member of this domain");
+        } else {
+            m_replica->catchupReceived(keep(std::move(reply)), request.value(), m_clock.now());
+        }
+    }
+
+    LedgerCallId keep(RpcReply reply)
+    {
+        m_calls.emplace(++m_lastCall, std::move(reply));
+        return m_lastCall;
+    }
+
+    template <typename T>
+    void answer(LedgerCallId call, const T &message)
+    {
+        const auto it = m_calls.find(call);
+        if (it == m_calls.end())
+            return;
+        const auto reply = std::move(it->second);
+        m_calls.erase(it);
+        reply(encodeMessage(message));
+    }
+
+    // Actions of the replica.
+
+    /// Carries out what the last event has led to. To be called after every event.
+    void settle()
+    {
+        if (m_isStopped)
+            return;
+        m_replica->tick(m_clock.now());
+        for (auto &action : m_replica->takeActions())
+            std::visit([this](auto &it) { carryOut(it); }, action);
+        writeJournal();
+    }
+
+    void carryOut(LedgerActions::WriteJournal &action)
+    {
+        m_queued.push_back(std::move(action.record));
+        m_queuedPosition = action.position;
+    }
+
+    void carryOut(LedgerActions::SendReplicate &action)
+    {
+        const auto kind =
+            action.request.entries.empty() ? MessageKind::LeaseRenew : MessageKind::Replicate;
+        callReplica(action.to, kind, encodeMessage(action.request), [this](const std::string &it) {
+            if (const auto reply = decodeMessage<ReplicateReply>(it))
+                m_replica->replicateReplied(reply.value(), m_clock.now());
+        });
+    }
+
+    void carryOut(LedgerActions::SendCatchup &action)
+    {
+        callReplica(action.to, MessageKind::Catchup, encodeMessage(action.request),
+                    [this](const std::string &it) {
+                        auto reply = decodeMessage<CatchupReply>(it);
+                        if (reply)
+                            m_replica->catchupReplied(std::move(reply).value(), m_clock.now());
+                    });
+    }
+
+    void carryOut(LedgerActions::ReadSet &)
+    {
+        m_store->read(m_settings.domain, [self = shared_from_this()](Result<ReplicaSet> result) {
+            Asio::post(self->m_strand, [self, result = std::move(result)] {
+                self->m_replica->setRead(result, self->m_clock.now());
+                self->settle();
+            });
+        });
+    }
+
+    void carryOut(LedgerActions::ChangeSet &action)
+    {
+        const auto next = action.next;
+        Log::info("ledger-change-set")
+            .kv("expected", action.expectedEpoch)
+            .kv("primary", next.primary.instance)
+            .kv("backups", next.backups.size());
+        m_store->compareAndSet(
+            m_settings.domain, action.expectedEpoch, next,
+            [self = shared_from_this(), next](Result<ReplicaSet> result) {
+                Asio::post(self->m_strand, [self, next, result = std::move(result)] {
+                    self->m_replica->setChanged(next, result, self->m_clock.now());
+                    self->settle();
+                });
+            });
+    }
+
+    void carryOut(LedgerActions::AnswerClaim &action) { answer(action.call, action.answer); }
+    void carryOut(LedgerActions::AnswerFinish &action) { answer(action.call, action.answer); }
+    void carryOut(LedgerActions::AnswerReplicate &action) { answer(action.call, action.reply); }
+    void carryOut(LedgerActions::AnswerCatchup &action) { answer(action.call, action.reply); }
+
+    void carryOut(LedgerActions::Notice &action)
+    {
+        LogLine(action.isWarning ? LogLevel::Warning : LogLevel::Info, action.event)
+            .kv("domain", m_settings.domain)
+            .kv("detail", action.detail);
+    }
+
+    void callReplica(const ReplicaMember &to, MessageKind kind, std::string payload,
+                     std::function<void(const std::string &)> onReply)
+    {
+        auto &client = m_clients[to.address];
+        if (!client) {
+            const auto address = Address::parse(to.address);
+            if (!address)
+                return;
+            client = RpcClient::make(m_io, address.value(), m_rpc);
+        }
+        client->call(kind, std::move(payload), ReplicaCallTimeout,
+                     [self = shared_from_this(), onReply = std::move(onReply)](RpcResult result) {
+                         Asio::post(self->m_strand, [self, onReply, result = std::move(result)] {
+                             const auto *bytes = std::get_if<std::string>(&result);
+                             if (bytes != nullptr && !self->m_isStopped)
+                                 onReply(*bytes);
+                             self->settle();
+                         });
+                     });
+    }
+
+    /// Runs a step on the strand after a job of a disk thread.
+    template <typename Step>
+    void resume(Step step)
+    {
+        if (const auto self = weak_from_this().lock())
+            Asio::post(m_strand, [self, step = std::move(step)]() mutable { step(); });
+    }
+
+    // The journal. One batch is on its way at a time; what comes meanwhile forms the next one.
+
+    void writeJournal()
+    {
+        if (m_isWriting || m_queued.empty() || !m_journal)
+            return;
+        m_isWriting = true;
+        auto batch = std::make_shared<std::vector<LedgerRecord>>(std::exchange(m_queued, {}));
+        m_disk->post([this, batch, position = m_queuedPosition] {
+            const auto status = m_journal->write(*batch);
+            resume([this, status, position] { onWritten(status, position); });
+        });
+    }
+
+    void onWritten(const Status &status, std::uint64_t position)
+    {
+        m_isWriting = false;
+        if (!status) {
+            failDisk(status.error());
+            return;
+        }
+        m_syncs = m_journal->syncs();
+        m_syncedPosition = position;
+        m_replica->journalSynced(position);
+        considerSnapshot();
+        settle();
+    }
+
+    void failDisk(const Error &error)
+    {
+        Log::error("ledger-disk-failed").kv("error", error.message);
+        m_queued.clear();
+        // It stays set, so that nothing is written any more.
+        m_isWriting = true;
+        m_replica->journalFailed(error.message);
+        settle();
+    }
+
+    // Snapshots.
+
+    void considerSnapshot()
+    {
+        const auto threshold =
+            std::max<std::uint64_t>(m_settings.snapshotBytes, m_lastSnapshotBytes);
+        if (m_isSnapshotting || m_isWriting || m_journal->bytes() < threshold
+            || !m_replica->canSnapshot() || m_replica->role() == LedgerRole::Stopped) {
+            return;
+        }
+        // Queued records go into the new file after its start, which the replica makes of what it
+        // holds now; records that are in both do no harm.
+        m_isSnapshotting = true;
+        m_isWriting = true;
+        const auto &log = m_replica->log();
+        m_snapshotBase = {};
+        m_snapshotBase.kind = LedgerRecordKind::ImagesEnd;
+        m_snapshotBase.sequence = log.committed();
+        m_snapshotBase.epoch = log.epochAt(log.committed()).value_or(0);
+        m_snapshotBase.incarnation = log.incarnation();
+        m_disk->post([this, records = m_replica->journalStart()] {
+            const auto status = m_journal->rotate(records);
+            resume([this, status] {
+                m_isWriting = false;
+                if (!status) {
+                    failDisk(status.error());
+                    return;
+                }
+                beginSnapshot();
+                settle();
+            });
+        });
+    }
+
+    void beginSnapshot()
+    {
+        auto snapshot = LedgerSnapshot::begin(m_folder, m_journal->number());
+        if (!snapshot) {
+            giveUpSnapshot(snapshot.error());
+            return;
+        }
+        m_snapshot = std::move(snapshot).value();
+        m_lastSnapshotBytes = 0;
+        m_snapshotIncarnation = m_snapshotBase.incarnation;
+        LedgerRecord reset;
+        reset.kind = LedgerRecordKind::Reset;
+        reset.incarnation = m_snapshotBase.incarnation;
+        writeSnapshot(std::move(reset), 0, false);
+    }
+
+    void writeSnapshot(LedgerRecord record, std::uint64_t cursor, bool isLast)
+    {
+        m_snapshotDisk->post([this, record = std::move(record), cursor, isLast] {
+            const auto status = m_snapshot->write(record);
+            resume([this, status, cursor, isLast] {
+                if (!status)
+                    giveUpSnapshot(status.error());
+                else
+                    continueSnapshot(cursor, isLast);
+            });
+        });
+    }
+
+    void continueSnapshot(std::uint64_t cursor, bool isLast)
+    {
+        // A reset of the log makes the images so far worthless.
+        if (m_isStopped || !m_replica->canSnapshot()
+            || m_replica->log().incarnation() != m_snapshotIncarnation) {
+            giveUpSnapshot(Error{ErrorCode::Unavailable, "the log was reset"});
+            return;
+        }
+        const auto &state = m_replica->log().state();
+        if (!isLast) {
+            auto images = state.images(cursor, SnapshotStepBytes);
+            LedgerRecord record;
+            record.kind = LedgerRecordKind::Images;
+            record.claims = std::move(images.claims);
+            m_lastSnapshotBytes += SnapshotStepBytes;
+            writeSnapshot(std::move(record), images.nextCursor, images.isLast);
+            return;
+        }
+        m_snapshotBase.timeMs = state.timeMs();
+        m_snapshotBase.forgottenIssueSeconds = state.forgottenIssueSeconds();
+        finishSnapshot(m_queued.empty() && !m_isWriting ? m_syncedPosition : m_queuedPosition);
+    }
+
+    /// The images may hold effects of entries up to the position; these must be durable first.
+    void finishSnapshot(std::uint64_t position)
+    {
+        if (m_syncedPosition < position) {
+            const auto timer = std::make_shared<Asio::steady_timer>(m_strand, toChrono(TickEvery));
+            timer->async_wait(
+                [self = shared_from_this(), timer, position](const boost::system::error_code &) {
+                    if (!self->m_isStopped && self->m_replica->role() != LedgerRole::Stopped)
+                        self->finishSnapshot(position);
+                });
+            return;
+        }
+        m_snapshotDisk->post([this, end = m_snapshotBase] {
+            auto status = m_snapshot->write(end);
+            if (status)
+                status = m_snapshot->finish();
+            resume([this, status] {
+                if (!status) {
+                    giveUpSnapshot(status.error());
+                    return;
+                }
+                m_isSnapshotting = false;
+                m_snapshot = nullptr;
+                Log::info("ledger-snapshot").kv("journal", m_journal->number());
+            });
+        });
+    }
+
+    /// The journals go on to hold everything; the next threshold tries again.
+    void giveUpSnapshot(const Error &error)
+    {
+        Log::warning("ledger-snapshot-failed").kv("error", error.message);
+        m_snapshot = nullptr;
+        m_isSnapshotting = false;
+    }
+
+    // Time and end.
+
+    void onTimer()
+    {
+        if (m_isStopped)
+            return;
+        settle();
+        if (m_onDrained && (m_calls.empty() || m_clock.now() >= m_drainEnd)) {
+            stop();
+            return;
+        }
+        m_timer.expires_after(toChrono(TickEvery));
+        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+            if (!ec)
+                self->onTimer();
+        });
+    }
+
+    void stop()
+    {
+        m_isStopped = true;
+        m_server->stop();
+        for (const auto &[address, client] : m_clients)
+            client->stop();
+        for (const auto &[call, reply] : std::exchange(m_calls, {}))
+            reply(Error{ErrorCode::Unavailable, "the ledger stops"});
+        const auto onDrained = std::exchange(m_onDrained, nullptr);
+        Log::info("ledger-drained");
+        onDrained();
+    }
+
+    Asio::io_context &m_io;
+    Strand m_strand;
+    Asio::steady_timer m_timer;
+    LedgerServerSettings m_settings;
+    SteadyClock m_clock;
+    RpcSettings m_rpc;
+    std::shared_ptr<RpcServer> m_server;
+    std::shared_ptr<ReplicaSetStore> m_store;
+    std::map<std::string, std::shared_ptr<RpcClient>> m_clients;
+    std::unique_ptr<LedgerReplica> m_replica;
+    std::unordered_map<LedgerCallId, RpcReply> m_calls;
+    LedgerCallId m_lastCall = 0;
+    std::uint64_t m_refusedMessages = 0;
+    bool m_isStopped = false;
+    Milliseconds m_drainEnd;
+    std::function<void()> m_onDrained;
+
+    std::vector<LedgerRecord> m_queued;
+    std::uint64_t m_queuedPosition = 0;
+    std::uint64_t m_syncedPosition = 0;
+    std::uint64_t m_syncs = 0;
+    bool m_isWriting = false;
+    bool m_isSnapshotting = false;
+    LedgerRecord m_snapshotBase;
+    std::uint64_t m_snapshotIncarnation = 0;
+    std::uint64_t m_lastSnapshotBytes = 0;
+    std::shared_ptr<SyncedFolder> m_folder;
+    std::unique_ptr<LedgerJournal> m_journal; ///< Used on m_disk while m_isWriting.
+    std::unique_ptr<LedgerSnapshot> m_snapshot; ///< Used on m_snapshotDisk.
+    std::unique_ptr<DiskThread> m_disk;
+    std::unique_ptr<DiskThread> m_snapshotDisk;
+};
+
+} // namespace
+
+Result<std::shared_ptr<LedgerServer>> LedgerServer::make(boost::asio::io_context &io,
+                                                         const LedgerServerSettings &settings,
+                                                         std::shared_ptr<SyncedFolder> folder,
+                                                         const ReplicaSetStoreFactory &makeStore)
+{
+    auto server = std::make_shared<RpcLedgerServer>(io, settings);
+    if (const auto status = server->start(std::move(folder), makeStore); !status)
+        return status.error();
+    return std::shared_ptr<LedgerServer>(std::move(server));
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/SyncedFile.h
@@ -0,0 +1,48 @@
+/// @file Files whose content is durable once synced, behind an interface that tests can replace.
+#pragma once
+
+#include "Result.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Camphor {
+
+/// A file that only grows. After an error of append() or sync() nothing is known about what was
+/// written since the last sync, and the file must not be used any more.
+class SyncedFile
+{
+public:
+    virtual ~SyncedFile() = default;
+
+    [[nodiscard]] virtual Status append(std::string_view bytes) = 0;
+    /// Returns once everything appended so far is durable.
+    [[nodiscard]] virtual Status sync() = 0;
+};
+
+/// A flat folder of such files. A rename or removal is durable when the call returns.
+class SyncedFolder
+{
+public:
+    virtual ~SyncedFolder() = default;
+
+    /// The folder at a path, which is created if it is missing. Another process that has it open
+    /// is an error.
+    [[nodiscard]] static Result<std::shared_ptr<SyncedFolder>> open(const std::string &path);
+
+    /// Opens a file for appending; creates it if it is missing.
+    [[nodiscard]] virtual Result<std::unique_ptr<SyncedFile>> append(const std::string &name) = 0;
+    /// Up to maxBytes bytes from an offset; empty at the end of the file.
+    [[nodiscard]] virtual Result<std::string> read(const std::string &name, std::uint64_t offset,
+                                                   std::size_t maxBytes) = 0;
+    [[nodiscard]] virtual Result<std::vector<std::string>> list() = 0;
+    [[nodiscard]] virtual Status rename(const std::string &from, const std::string &to) = 0;
+    [[nodiscard]] virtual Status remove(const std::string &name) = 0;
+    /// Cuts a file to a size, durably.
+    [[nodiscard]] virtual Status truncate(const std::string &name, std::uint64_t size) = 0;
+};
+
+} // namespace Camphor
