--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -258,7 +258,7 @@
         };
         steps.abandon = [this] { m_flow.abandonAll("drain-limit"); };
         steps.closeConnections = [this] { m_http->closeIdleConnections(); };
-        steps.isClosed = [this] { return m_http->connections() == 0; };
+        steps.isClosed = [this] { return !m_http->isAccepting() && m_http->connections() == 0; };
         steps.exit = [this] { m_io.stop(); };
         return DrainController::make(m_io, m_settings.drain, std::move(steps));
     }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -12,8 +12,13 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <mutex>
 #include <optional>
@@ -49,6 +54,24 @@
                         R"({"outcome":"not-run","reason":")" + reason + R"(","started":0})");
 }
 
+/// Drops the first packet of every new connection, so that a caller meets no server instead of a
+/// connection that is reset. Closing a listening socket resets the connections that the kernel has
+/// accepted and the process has not, although their requests may have been sent.
+void refuseNewConnections(int listeningSocket)
+{
+    // Byte 13 of the TCP header holds the flags; SYN without ACK opens a connection.
+    std::array<sock_filter, 5> code{{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, 0x12),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, 0x02, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, 0xFFFFFFFF),
+    }};
+    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    if (::setsockopt(listeningSocket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
+        Log::warning("listen-filter-failed").kv("errno", errno);
+}
+
 class Session;
 
 /// The open sessions, so that a drain can reach them.
@@ -114,8 +137,15 @@
     void closeIfIdle()
     {
         Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-            if (self->m_isIdle)
-                self->close();
+            // A caller that has just connected is about to send its request.
+            const auto age = std::chrono::steady_clock::now() - self->m_createdAt;
+            const bool isNew = !self->m_hadRequest && age < FirstRequestTime;
+            if (!self->m_isIdle || isNew)
+                return;
+            // Closing here could lose a request whose bytes have arrived but were not handled.
+            self->m_closeWhenCancelled = true;
+            ErrorCodeAsio ignored;
+            self->m_stream.socket().cancel(ignored);
         });
     }
 
@@ -139,10 +169,18 @@
     void onFirst(ErrorCodeAsio ec, std::size_t n)
     {
         m_isIdle = false;
+        if (std::exchange(m_closeWhenCancelled, false) && ec == Asio::error::operation_aborted) {
+            ErrorCodeAsio ignored;
+            if (m_stream.socket().available(ignored) > 0) {
+                readNext();
+                return;
+            }
+        }
         if (ec) {
             close();
             return;
         }
+        m_hadRequest = true;
         m_buffer.commit(n);
         readRequest();
     }
@@ -267,6 +305,7 @@
 
     static constexpr std::size_t ReadBytes = 8192;
     static constexpr std::chrono::seconds LingerTime{2};
+    static constexpr std::chrono::seconds FirstRequestTime{1};
 
     Beast::tcp_stream m_stream;
     Beast::flat_buffer m_buffer;
@@ -275,6 +314,9 @@
     std::shared_ptr<ServerState> m_state;
     bool m_keepAlive = false;
     bool m_isIdle = false;
+    bool m_hadRequest = false;
+    bool m_closeWhenCancelled = false;
+    const std::chrono::steady_clock::time_point m_createdAt = std::chrono::steady_clock::now();
 };
 
 class BeastHttpServer : public HttpServer, public std::enable_shared_from_this<BeastHttpServer>
@@ -284,6 +326,7 @@
         : m_io(io)
         , m_acceptor(Asio::make_strand(io))
         , m_retryTimer(m_acceptor.get_executor())
+        , m_closeTimer(m_acceptor.get_executor())
         , m_state(std::make_shared<ServerState>())
     {
         m_state->settings = settings;
@@ -335,11 +378,17 @@
     void stopAccepting() override
     {
         Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            ErrorCodeAsio ignored;
-            self->m_acceptor.close(ignored);
-            self->m_retryTimer.cancel();
+            refuseNewConnections(self->m_acceptor.native_handle());
+            self->m_closeTimer.expires_after(HandshakeTime);
+            self->m_closeTimer.async_wait([self](ErrorCodeAsio) {
+                ErrorCodeAsio ignored;
+                self->m_acceptor.close(ignored);
+                self->m_retryTimer.cancel();
+                self->m_isAccepting = false;
+            });
         });
     }
+    [[nodiscard]] bool isAccepting() const override { return m_isAccepting; }
 
     void closeIdleConnections() override
     {
@@ -375,10 +424,14 @@
     }
 
     static constexpr std::chrono::milliseconds AcceptRetry{50};
+    /// Handshakes that have begun end within this time.
+    static constexpr std::chrono::milliseconds HandshakeTime{100};
 
     Asio::io_context &m_io;
     Tcp::acceptor m_acceptor;
     Asio::steady_timer m_retryTimer;
+    Asio::steady_timer m_closeTimer;
+    std::atomic<bool> m_isAccepting{true};
     std::shared_ptr<ServerState> m_state;
     std::uint16_t m_port = 0;
 };
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -55,8 +55,11 @@
 
     /// From now on every answer closes its connection, so that callers move elsewhere.
     virtual void startDrain() = 0;
-    /// Closes the listening socket.
+    /// Refuses new connections and, when those that have begun are accepted, closes the listening
+    /// socket.
     virtual void stopAccepting() = 0;
+    /// Whether the listening socket is still open.
+    [[nodiscard]] virtual bool isAccepting() const = 0;
     /// Closes connections on which no request is being read or answered.
     virtual void closeIdleConnections() = 0;
 };
--- a/test/EntryFixture.h
+++ b/test/EntryFixture.h
@@ -351,6 +351,7 @@
     }
 
     [[nodiscard]] const Address &address(int n = 0) const { return m_members[n].listen; }
+    [[nodiscard]] const Address &rpc(int n = 0) const { return m_members[n].rpc; }
     [[nodiscard]] std::vector<Address> addresses() const
     {
         std::vector<Address> all;
