Wire the control group and the ledgers into the entry

Cause: the entry knew only a declaration file and a ledger in memory.

Change: with the settings key control, declarations and the bucket map come from ControlSubscription, and claims go to RemoteLedger. Before the process ends it stops its connections, so that their handlers release what they hold; the address sanitizer reported the peer connections as leaked after a drain with peers.

No test runs an entry against real ledgers yet.

Conclusion: an entry can run with a control group.

--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -1,11 +1,13 @@
 #include "EntryServer.h"
 
 #include "CallerApi.h"
+#include "ControlSubscription.h"
 #include "DigestSocket.h"
 #include "DrainController.h"
 #include "FileDeclarationSource.h"
 #include "MemoryLedger.h"
 #include "PeerService.h"
+#include "RemoteLedger.h"
 
 #include "Log.h"
 
@@ -16,6 +18,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace Camphor {
 
@@ -25,6 +28,8 @@
 
 constexpr std::chrono::milliseconds TickPeriod{20};
 constexpr std::chrono::milliseconds DigestPeriod{100};
+/// Time in which connections end before the process does.
+constexpr std::chrono::milliseconds ExitPause{20};
 /// Room for a frame's fields besides the body that it carries.
 constexpr std::size_t FrameOverheadBytes = std::size_t{1} << 20;
 
@@ -58,6 +63,18 @@
     return client;
 }
 
+/// The homes of all buckets as the ledger client takes them.
+BucketMap makeBucketMap(const std::vector<BucketHome> &homes)
+{
+    std::set<std::string> domains;
+    for (const auto &home : homes)
+        domains.insert(home.domain);
+    auto map = BucketMap::spread({domains.begin(), domains.end()});
+    for (std::size_t n = 0; n < homes.size() && n < KeyBuckets; ++n)
+        map = map.moved(n, homes[n].domain);
+    return map;
+}
+
 class EntryComposition : public EntryServer, public std::enable_shared_from_this<EntryComposition>
 {
 public:
@@ -72,14 +89,17 @@
         , m_cluster(m_settings, m_incarnation, m_clock)
         , m_pools(makeDispatcherSettings(settings, m_incarnation),
                   ShardServices{m_clock, m_targets, m_peers, m_metrics, m_explain})
-        , m_declaration(settings.dataFolder, [this](const auto &it) { m_pools.apply(it); })
-        , m_ledger(std::make_unique<MemoryLedger>(m_clock))
+        , m_declaration(settings.dataFolder, [this](const auto &it) { applyDeclaration(it); })
+        , m_remoteLedger(settings.control.empty() ? nullptr : RemoteLedger::make(io, m_rpc))
+        , m_ledger(m_remoteLedger ? std::shared_ptr<SubmissionLedger>(m_remoteLedger)
+                                  : std::make_shared<MemoryLedger>(m_clock))
         , m_flow(FlowServices{io, m_clock, settings.domain, m_cluster, m_pools, m_registry,
                               *m_ledger, m_metrics})
         , m_directory(m_cluster, m_pools, m_peers)
         , m_peerService(m_clock, m_cluster, m_pools, m_directory, m_flow)
         , m_api(ApiServices{m_settings, m_cluster, m_pools, m_registry, m_flow, m_directory,
                             m_peers, m_declaration, m_metrics, m_explain})
+        , m_exitTimer(io)
         , m_tickTimer(io)
         , m_digestTimer(io)
     {
@@ -111,8 +131,32 @@
     void startDrain() override { m_drain->begin(); }
 
 private:
+    void applyDeclaration(const std::shared_ptr<const Declaration> &declaration)
+    {
+        if (m_remoteLedger)
+            m_remoteLedger->applyDeclaration(*declaration);
+        m_pools.apply(declaration);
+    }
+
     Status startSource()
     {
+        if (const auto status = makeSource(); !status)
+            return status;
+        m_source->subscribe(m_declaration.current().version,
+                            [this](const VersionedDeclaration &it) { m_declaration.offer(it); });
+        return okStatus();
+    }
+
+    Status makeSource()
+    {
+        if (!m_settings.control.empty()) {
+            auto source = ControlSubscription::make(m_io, m_settings.control, m_rpc);
+            source->onBuckets([this](const std::vector<BucketHome> &homes) {
+                m_remoteLedger->setBucketMap(makeBucketMap(homes));
+            });
+            m_source = std::move(source);
+            return okStatus();
+        }
         auto source = FileDeclarationSource::make(m_settings.declarationFile);
         if (!source)
             return source.error();
@@ -121,8 +165,6 @@
             .kv("ledger", "memory")
             .kv("effect", "claims are lost when this process stops");
         m_source = std::move(source).value();
-        m_source->subscribe(m_declaration.current().version,
-                            [this](const VersionedDeclaration &it) { m_declaration.offer(it); });
         return okStatus();
     }
 
@@ -244,6 +286,22 @@
             shard->startDraining();
     }
 
+    /// Ends all connections, so that their handlers release what they hold, and then the process.
+    void stop()
+    {
+        m_source->stop();
+        m_peers.stop();
+        m_targets.stopIdle();
+        if (m_remoteLedger)
+            m_remoteLedger->stop();
+        if (m_rpcServer)
+            m_rpcServer->stop();
+        if (m_digests)
+            m_digests->stop();
+        m_exitTimer.expires_after(ExitPause);
+        m_exitTimer.async_wait([this](const boost::system::error_code &) { m_io.stop(); });
+    }
+
     std::shared_ptr<DrainController> makeDrain()
     {
         DrainSteps steps;
@@ -259,7 +317,7 @@
         steps.abandon = [this] { m_flow.abandonAll("drain-limit"); };
         steps.closeConnections = [this] { m_http->closeIdleConnections(); };
         steps.isClosed = [this] { return !m_http->isAccepting() && m_http->connections() == 0; };
-        steps.exit = [this] { m_io.stop(); };
+        steps.exit = [this] { stop(); };
         return DrainController::make(m_io, m_settings.drain, std::move(steps));
     }
 
@@ -275,7 +333,8 @@
     ClusterView m_cluster;
     PoolSet m_pools;
     AppliedDeclaration m_declaration;
-    std::unique_ptr<SubmissionLedger> m_ledger;
+    std::shared_ptr<RemoteLedger> m_remoteLedger; ///< Only with a control group.
+    std::shared_ptr<SubmissionLedger> m_ledger;
     JobRegistry m_registry;
     SubmissionFlow m_flow;
     TargetDirectory m_directory;
@@ -288,6 +347,7 @@
     std::shared_ptr<DrainController> m_drain;
     std::atomic<std::uint64_t> m_digestSequence{0};
     std::atomic<bool> m_hasStoppedIntake{false};
+    Asio::steady_timer m_exitTimer;
     Asio::steady_timer m_tickTimer;
     Asio::steady_timer m_digestTimer;
 };
--- a/src/TargetCaller.h
+++ b/src/TargetCaller.h
@@ -59,6 +59,9 @@
     /// Sends DELETE /v1/run/{attempt}. Its answer proves nothing and is ignored.
     void stop(const Address &address, const std::string &attempt);
 
+    /// Closes the connections that no call uses.
+    void stopIdle() { m_client->closeIdle(); }
+
     [[nodiscard]] std::uint64_t strayAnswers() const { return m_client->strayAnswers(); }
 
 private:
