Bound the starts on failing targets and the cost of a cancellation

Change: a target is suspect from its first failure on; it pauses, and is then tried with one task. Tasks from before the failures no longer clear them. The rate of the other targets is the worse one of recent and all results. New targets are proven by a trial. A job's tasks go to the rack and target with the fewest of them. Tasks are found by a hash of the request id, in records from a pool. A table of fault cases fixes outcome and number of sends.

--- a/src/DispatcherCore.cpp
+++ b/src/DispatcherCore.cpp
@@ -3,7 +3,7 @@
 #include "Ownership.h"
 
 #include <algorithm>
-#include <array>
+#include <ranges>
 
 namespace Camphor {
 
@@ -157,11 +157,23 @@
     const auto [entry, isNew] = m_tasks.try_emplace(spec.handle);
     CAMPHOR_ASSERT(isNew);
     auto &task = entry->second;
-    task.spec = spec;
+    task.handle = spec.handle;
+    task.deadline = spec.deadline;
+    task.urgency = spec.urgency;
+    task.isRepeatable = spec.isRepeatable;
+    task.isJobTask = spec.isJobTask;
+    task.isForeign = !spec.origin.empty();
+    task.taskIndex = spec.taskIndex;
+    task.nextAttempt = spec.attempt;
     task.since = task.enqueuedAt = now;
-    task.request = &*m_requests.try_emplace(spec.requestId).first;
-    task.positionInRequest = task.request->second.tasks.size();
-    task.request->second.tasks.push_back(spec.handle);
+    const auto key = attemptKey(spec.requestId);
+    task.request = &m_requests.try_emplace(key).first->second;
+    task.request->key = key;
+    task.request->id = spec.requestId;
+    task.nextInRequest = task.request->first;
+    if (task.nextInRequest != nullptr)
+        task.nextInRequest->previousInRequest = &task;
+    task.request->first = &task;
     const auto index = m_rules.service(spec.service);
     if (!index) {
         finish(task, Outcome::NotRun, 0, "unknown-service");
@@ -179,10 +191,10 @@
 
 void Dispatcher::Core::enqueue(Task &task, bool isFirst)
 {
-    task.ticket = m_queue.push(task.flow,
-                               {task.spec.handle, task.spec.urgency, !task.spec.origin.empty(),
-                                task.enqueuedAt, estimateMs(task.flow.service)},
-                               isFirst);
+    task.ticket = m_queue.push(
+        task.flow,
+        {task.handle, task.urgency, task.isForeign, task.enqueuedAt, estimateMs(task.flow.service)},
+        isFirst);
 }
 
 void Dispatcher::Core::dequeue(Task &task)
@@ -209,14 +221,17 @@
     stopAttempts(task, reason);
 }
 
-void Dispatcher::Core::cancelRequest(const std::string &requestId, std::string_view reason)
+void Dispatcher::Core::cancelAll(RequestKey key, std::string_view reason)
 {
-    const auto it = m_requests.find(requestId);
+    const auto it = m_requests.find(key);
     if (it == m_requests.end())
         return;
     // A copy, because each ended task leaves the list.
-    const auto handles = it->second.tasks;
-    for (const auto handle : handles)
+    std::vector<TaskHandle> handles;
+    for (const auto *task = it->second.first; task != nullptr; task = task->nextInRequest)
+        handles.push_back(task->handle);
+    // The list is in reverse order of submission.
+    for (const auto handle : std::views::reverse(handles))
         cancel(handle, reason);
 }
 
@@ -226,7 +241,7 @@
         if (it.isStopped)
             continue;
         it.isStopped = true;
-        StopAttempt stop{task.spec.handle, it.number, {}, {}, it.peer, reason};
+        StopAttempt stop{task.handle, it.number, {}, {}, it.peer, reason};
         if (it.peer.empty()) {
             stop.target = m_registry.id(it.target);
             stop.address = m_registry.address(it.target);
@@ -320,7 +335,7 @@
         m_health.trialEnded(attempt.target);
     // An attempt that was told to stop says nothing about its target when it then fails.
     if (report.outcome == AttemptOutcome::Completed)
-        m_health.completed(attempt.target, task.flow.service);
+        m_health.completed(attempt.target, task.flow.service, attempt.startedAt);
     else if (report.outcome == AttemptOutcome::NotStarted)
         m_health.refused(attempt.target, now);
     else if (!attempt.isStopped)
@@ -330,9 +345,9 @@
 
 void Dispatcher::Core::blame(Task &task, const Attempt &attempt, Milliseconds now)
 {
-    auto &request = task.request->second;
+    auto &request = *task.request;
     if (m_health.isOnProbation(attempt.target)) {
-        (void)m_health.failed(attempt.target, task.flow.service, true, now);
+        (void)m_health.failed(attempt.target, task.flow.service, true, attempt.startedAt, now);
         return;
     }
     // One request is one piece of evidence against one target. When it fails on another target
@@ -348,19 +363,22 @@
     if (request.blame < 0)
         return;
     std::uint32_t onProbation = 0;
-    for (const auto it : m_health.probation())
-        onProbation +=
-            m_registry.isUsable(it) && m_registry.canOffer(it, task.flow.service) ? 1 : 0;
+    for (const auto it : m_health.limited())
+        onProbation += m_health.isOnProbation(it) && m_registry.isUsable(it)
+                && m_registry.canOffer(it, task.flow.service)
+            ? 1
+            : 0;
     const auto isAllowed = (onProbation + 1) * 2 <= m_registry.usableTargets(task.flow.service);
     request.blamedTarget = attempt.target;
-    request.blame = m_health.failed(attempt.target, task.flow.service, isAllowed, now);
+    request.blame =
+        m_health.failed(attempt.target, task.flow.service, isAllowed, attempt.startedAt, now);
 }
 
 bool Dispatcher::Core::maySendAgain(const Task &task) const
 {
-    if (!task.cancelReason.empty() || task.sends >= MaxSends || !task.spec.origin.empty())
+    if (!task.cancelReason.empty() || task.sends >= MaxSends || task.isForeign)
         return false;
-    return task.started == 0 || (task.spec.isRepeatable && !task.spec.isJobTask);
+    return task.started == 0 || (task.isRepeatable && !task.isJobTask);
 }
 
 bool Dispatcher::Core::tryRetry(Task &task, AttemptOutcome outcome)
@@ -380,7 +398,6 @@
 
 void Dispatcher::Core::afterReport(Task &task, const AttemptReport &report)
 {
-    task.lastReason = report.reason;
     if (report.outcome == AttemptOutcome::Completed) {
         stopAttempts(task, "answered");
         finish(task, Outcome::Completed, report.attempt, report.reason);
@@ -419,39 +436,35 @@
     remember(task, outcome, reason);
     // A job whose task did not complete cannot be answered, so the rest of it is of no use. Only
     // the entry that accepted the job decides that.
-    auto &request = task.request->second;
-    if (outcome != Outcome::Completed && task.spec.isJobTask && task.spec.origin.empty()
-        && !request.isFailing) {
+    auto &request = *task.request;
+    if (outcome != Outcome::Completed && task.isJobTask && !task.isForeign && !request.isFailing) {
         request.isFailing = true;
-        m_failedJobs.push_back(task.request);
+        m_failedJobs.push_back(request.key);
     }
     m_actions.emplace_back(
-        FinishTask{task.spec.handle, outcome, attempt, std::move(reason), task.started});
+        FinishTask{task.handle, outcome, attempt, std::move(reason), task.started});
 }
 
 void Dispatcher::Core::forgetIfDone(Task &task)
 {
     if (!task.isFinished || !task.attempts.empty())
         return;
-    auto &request = task.request->second;
-    const auto moved = request.tasks.back();
-    request.tasks[task.positionInRequest] = moved;
-    m_tasks.find(moved)->second.positionInRequest = task.positionInRequest;
-    request.tasks.pop_back();
-    if (request.tasks.empty()) {
-        std::erase(m_failedJobs, task.request);
-        m_requests.erase(m_requests.find(task.request->first));
-    }
-    m_tasks.erase(m_tasks.find(task.spec.handle));
+    auto &request = *task.request;
+    (task.previousInRequest == nullptr ? request.first : task.previousInRequest->nextInRequest) =
+        task.nextInRequest;
+    if (task.nextInRequest != nullptr)
+        task.nextInRequest->previousInRequest = task.previousInRequest;
+    if (request.first == nullptr)
+        m_requests.erase(request.key);
+    m_tasks.erase(m_tasks.find(task.handle));
 }
 
 void Dispatcher::Core::failJobs()
 {
     while (!m_failedJobs.empty()) {
-        auto *request = m_failedJobs.back();
+        const auto key = m_failedJobs.back();
         m_failedJobs.pop_back();
-        const auto id = request->first;
-        cancelRequest(id, "job-failed");
+        cancelAll(key, "job-failed");
     }
 }
 
@@ -461,15 +474,22 @@
         m_finished.resize(RememberedTasks);
     // Strings are assigned, not replaced, so that their memory is used again.
     auto &entry = m_finished[m_nextFinished++ % RememberedTasks];
-    entry.requestId = task.spec.requestId;
-    entry.explanation.taskIndex = task.spec.taskIndex;
+    entry.request = task.request->key;
+    entry.explanation.taskIndex = task.taskIndex;
     entry.explanation.state = outcomeName(outcome);
     entry.explanation.reason = reason;
-    entry.explanation.place = task.lastPlace;
+    entry.explanation.place = placeOf(task);
     entry.explanation.attempts = task.sends;
     entry.explanation.since = task.since;
 }
 
+std::string Dispatcher::Core::placeOf(const Task &task) const
+{
+    if (task.lastPeer != nullptr)
+        return *task.lastPeer;
+    return task.avoid.empty() ? std::string() : m_registry.id(task.avoid.back());
+}
+
 void Dispatcher::Core::deadlinePassed(Task &task, Milliseconds now)
 {
     if (task.ticket) {
@@ -480,9 +500,8 @@
     }
     // The peer may be about to report that the task expired in its queue.
     if (task.attempts.size() == 1 && !task.attempts.front().peer.empty()
-        && now < task.spec.deadline + ForwardGrace) {
-        m_timers.add(task.spec.deadline + ForwardGrace,
-                     {task.spec.handle, 0, TimerQueue::Kind::Deadline});
+        && now < task.deadline + ForwardGrace) {
+        m_timers.add(task.deadline + ForwardGrace, {task.handle, 0, TimerQueue::Kind::Deadline});
         return;
     }
     ++m_stats.expired;
@@ -605,7 +624,7 @@
     stats.queuedSlotMs = m_queue.queuedMs();
     stats.runningTasks = m_running;
     stats.targets = m_registry.usableTargets();
-    stats.targetsOnProbation = static_cast<std::uint32_t>(m_health.probation().size());
+    stats.targetsOnProbation = m_health.probationCount();
     stats.slots = m_registry.slots();
     stats.freeSlots = m_registry.freeSlots();
     return stats;
@@ -615,13 +634,13 @@
 {
     std::vector<TaskExplanation> tasks;
     for (const auto &it : m_finished)
-        if (!requestId.empty() && it.requestId == requestId)
+        if (it.request == attemptKey(requestId))
             tasks.push_back(it.explanation);
-    const auto request = m_requests.find(requestId);
+    const auto request = m_requests.find(attemptKey(requestId));
     if (request == m_requests.end())
         return tasks;
-    for (const auto handle : request->second.tasks) {
-        const auto &task = m_tasks.find(handle)->second;
+    for (const auto *it = request->second.first; it != nullptr; it = it->nextInRequest) {
+        const auto &task = *it;
         if (task.isFinished)
             continue;
         const auto isForwarded = !task.attempts.empty() && !task.attempts.front().peer.empty();
@@ -629,7 +648,7 @@
             : !task.cancelReason.empty() ? "stopping"
             : isForwarded                ? "forwarded"
                                          : "running";
-        tasks.push_back({task.spec.taskIndex, state, std::string(task.lastDecision), task.lastPlace,
+        tasks.push_back({task.taskIndex, state, std::string(task.lastDecision), placeOf(task),
                          task.sends, task.since});
     }
     return tasks;
@@ -642,7 +661,7 @@
     for (const auto &[handle, task] : m_tasks)
         for (const auto &it : task.attempts)
             if (target && it.peer.empty() && it.target == *target)
-                attempts.push_back(attemptId(task.spec.requestId, task.spec.taskIndex, it.number));
+                attempts.push_back(attemptId(task.request->id, task.taskIndex, it.number));
     return attempts;
 }
 
--- a/src/DispatcherCore.h
+++ b/src/DispatcherCore.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <map>
+#include <memory_resource>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
@@ -32,7 +33,10 @@
                                           Milliseconds now) const;
     void submit(const TaskSpec &spec, Milliseconds now);
     void cancel(TaskHandle handle, std::string_view reason);
-    void cancelRequest(const std::string &requestId, std::string_view reason);
+    void cancelRequest(const std::string &requestId, std::string_view reason)
+    {
+        cancelAll(attemptKey(requestId), reason);
+    }
     void targetAnnounced(const TargetAnnouncement &announcement, Milliseconds now);
     void targetGone(const std::string &id);
     void attemptFinished(TaskHandle handle, const AttemptReport &report, Milliseconds now);
@@ -54,6 +58,9 @@
     [[nodiscard]] std::vector<std::string> runningAttempts(const std::string &targetId) const;
 
 private:
+    /// A hash of the request id, which is cheaper to find than the text.
+    using RequestKey = std::uint64_t;
+
     /// One send of a task, to a target or to a peer.
     struct Attempt
     {
@@ -67,22 +74,34 @@
         bool isTrial = false;
     };
 
+    struct Task;
+
     struct Request
     {
-        std::vector<TaskHandle> tasks; ///< Those that are still known.
+        RequestKey key = 0;
+        std::string id;
+        Task *first = nullptr; ///< List of the tasks that are still known.
         std::vector<std::uint16_t> racks; ///< Started tasks of a job by rack.
+        std::vector<std::uint16_t> targets; ///< The same by target.
         bool isFailing = false;
         TargetIndex blamedTarget = 0;
         double blame = 0; ///< Of the first failure; taken back when another target fails too.
     };
-    using Requests = std::unordered_map<std::string, Request>;
 
     struct Task
     {
-        TaskSpec spec;
+        TaskHandle handle = 0;
+        Milliseconds deadline;
+        Urgency urgency = Urgency::Normal;
+        bool isRepeatable = false;
+        bool isJobTask = false;
+        bool isForeign = false; ///< Came from a peer, which named its only attempt number.
+        std::uint32_t taskIndex = 0;
+        std::uint32_t nextAttempt = 1;
         FlowId flow;
-        Requests::value_type *request = nullptr;
-        std::size_t positionInRequest = 0;
+        Request *request = nullptr;
+        Task *previousInRequest = nullptr;
+        Task *nextInRequest = nullptr;
         std::optional<QueueTicket> ticket; ///< Set while queued.
         std::vector<Attempt> attempts; ///< Those without a report; at most two.
         std::vector<TargetIndex> avoid; ///< Targets that had an attempt.
@@ -94,13 +113,12 @@
         bool isFinished = false; ///< Only reports of stopped attempts are still expected.
         std::string_view cancelReason; ///< Not empty when it was cancelled while running.
         std::string_view lastDecision;
-        std::string lastReason; ///< Of the last report.
-        std::string lastPlace;
+        std::unique_ptr<std::string> lastPeer; ///< Set while the last send was to a peer.
     };
 
     struct Finished
     {
-        std::string requestId;
+        RequestKey request = 0;
         TaskExplanation explanation;
     };
 
@@ -132,11 +150,13 @@
     void judge(Task &task, const Attempt &attempt, const AttemptReport &report, Milliseconds now);
     void blame(Task &task, const Attempt &attempt, Milliseconds now);
     void afterReport(Task &task, const AttemptReport &report);
+    void cancelAll(RequestKey key, std::string_view reason);
     void stopAttempts(Task &task, std::string_view reason);
     void finish(Task &task, Outcome outcome, std::uint32_t attempt, std::string reason);
     void finishUnsent(Task &task, std::string_view reason);
     void forgetIfDone(Task &task);
     void failJobs();
+    [[nodiscard]] std::string placeOf(const Task &task) const;
     void remember(const Task &task, Outcome outcome, const std::string &reason);
     void deadlinePassed(Task &task, Milliseconds now);
     void runTimers(Milliseconds now);
@@ -186,9 +206,12 @@
     std::vector<ServiceState> m_serviceStates;
     std::vector<std::uint32_t> m_quotas; ///< By team: slots of this entry; 0 is no quota.
     std::vector<bool> m_hasQuota;
-    std::unordered_map<TaskHandle, Task> m_tasks;
-    Requests m_requests;
-    std::vector<Requests::value_type *> m_failedJobs;
+    /// Frees and allocates records of one size, which the general allocator does much slower when
+    /// many tasks are cancelled in another order than they came in.
+    std::pmr::unsynchronized_pool_resource m_memory;
+    std::pmr::unordered_map<TaskHandle, Task> m_tasks{&m_memory};
+    std::pmr::unordered_map<RequestKey, Request> m_requests{&m_memory};
+    std::vector<RequestKey> m_failedJobs;
     std::unordered_set<AttemptKey> m_seenForeign;
     std::map<std::int64_t, std::vector<AttemptKey>> m_seenExpiry; ///< By second.
     std::vector<std::string> m_otherServices; ///< Usable services of the entry's other pools.
--- a/src/DispatcherPlacement.cpp
+++ b/src/DispatcherPlacement.cpp
@@ -14,13 +14,20 @@
 /// Tasks that one step may move, so that a step stays short.
 constexpr int MaxMovedInStep = 256;
 
+void countAt(std::vector<std::uint16_t> &counts, std::uint32_t index)
+{
+    if (index >= counts.size())
+        counts.resize(index + 1);
+    ++counts[index];
+}
+
 } // namespace
 
 bool Dispatcher::Core::isServiceOpen(std::uint32_t index, Milliseconds now) const
 {
     if (m_registry.freeSlots(index) > 0)
         return true;
-    return std::ranges::any_of(m_health.probation(), [&](TargetIndex it) {
+    return std::ranges::any_of(m_health.limited(), [&](TargetIndex it) {
         return m_health.isTrialDue(it, false, now) && m_registry.canTake(it, index);
     });
 }
@@ -33,9 +40,8 @@
 std::optional<TargetIndex> Dispatcher::Core::dueTrial(std::uint32_t index, const Task &task,
                                                       Milliseconds now) const
 {
-    const auto isRepeatable =
-        task.spec.isRepeatable && !task.spec.isJobTask && task.spec.origin.empty();
-    const auto &probation = m_health.probation();
+    const auto isRepeatable = task.isRepeatable && !task.isJobTask && !task.isForeign;
+    const auto &probation = m_health.limited();
     const auto it = std::ranges::find_if(probation, [&](TargetIndex target) {
         return m_health.isTrialDue(target, isRepeatable, now) && m_registry.canTake(target, index)
             && std::ranges::count(task.avoid, target) == 0;
@@ -48,8 +54,9 @@
     PlacementRequest request;
     request.service = task.flow.service;
     request.avoid = task.avoid;
-    if (task.spec.isJobTask)
-        request.racks = task.request->second.racks;
+    request.isJobTask = task.isJobTask;
+    request.racks = task.request->racks;
+    request.targets = task.request->targets;
     return m_policy->choose(m_registry, request);
 }
 
@@ -57,14 +64,14 @@
 {
     std::vector<TaskHandle> passedOver;
     while (m_queue.size() > 0 && passedOver.size() < MaxPassedOver
-           && (m_registry.freeSlots() > 0 || !m_health.probation().empty())) {
+           && (m_registry.freeSlots() > 0 || !m_health.limited().empty())) {
         const auto ticket =
             m_queue.next([&](std::uint32_t index) { return isServiceOpen(index, now); },
                          [&](FlowId flow) { return isWithinQuota(flow); });
         if (!ticket)
             break;
         auto &task = m_tasks.find(m_queue.task(*ticket).handle)->second;
-        if (task.spec.deadline <= now) {
+        if (task.deadline <= now) {
             deadlinePassed(task, now);
             forgetIfDone(task);
             continue;
@@ -73,7 +80,7 @@
         const auto target = trial ? trial : chooseTarget(task);
         if (!target) {
             dequeue(task);
-            passedOver.push_back(task.spec.handle);
+            passedOver.push_back(task.handle);
             continue;
         }
         const auto charged = m_queue.pop(*task.ticket, now).estimateMs;
@@ -89,9 +96,9 @@
                                     std::string_view reason, Milliseconds now, bool isHedge)
 {
     Attempt attempt;
-    attempt.number = task.spec.attempt++;
+    attempt.number = task.nextAttempt++;
     attempt.target = target;
-    attempt.key = attemptKey(attemptId(task.spec.requestId, task.spec.taskIndex, attempt.number));
+    attempt.key = attemptKey(attemptId(task.request->id, task.taskIndex, attempt.number));
     attempt.startedAt = now;
     attempt.chargedMs = chargedMs;
     attempt.isTrial = isTrial;
@@ -100,12 +107,10 @@
     if (isTrial)
         m_health.trialStarted(target);
     task.avoid.push_back(target);
-    if (task.spec.isJobTask) {
-        auto &racks = task.request->second.racks;
-        const auto rack = m_registry.rack(target);
-        if (rack >= racks.size())
-            racks.resize(rack + 1);
-        ++racks[rack];
+    task.lastPeer.reset();
+    if (task.isJobTask) {
+        countAt(task.request->racks, m_registry.rack(target));
+        countAt(task.request->targets, target);
     }
     if (task.attempts.empty())
         ++m_running;
@@ -115,8 +120,7 @@
     m_hedging.attemptStarted();
     task.since = now;
     task.lastDecision = reason;
-    task.lastPlace = m_registry.id(target);
-    m_actions.emplace_back(StartAttempt{task.spec.handle, attempt.number, m_registry.id(target),
+    m_actions.emplace_back(StartAttempt{task.handle, attempt.number, m_registry.id(target),
                                         m_registry.address(target), reason, isHedge});
     if (!isHedge)
         planHedge(task, attempt.number, now);
@@ -125,11 +129,10 @@
 
 void Dispatcher::Core::planHedge(const Task &task, std::uint32_t attempt, Milliseconds now)
 {
-    if (!m_settings.isHedging || !task.spec.isRepeatable || task.spec.isJobTask
-        || !task.spec.origin.empty())
+    if (!m_settings.isHedging || !task.isRepeatable || task.isJobTask || task.isForeign)
         return;
     if (const auto after = Hedging::checkAfter(m_serviceStates[task.flow.service].runTimes))
-        m_timers.add(now + *after, {task.spec.handle, attempt, TimerQueue::Kind::Hedge});
+        m_timers.add(now + *after, {task.handle, attempt, TimerQueue::Kind::Hedge});
 }
 
 void Dispatcher::Core::tryHedge(Task &task, std::uint32_t number, Milliseconds now)
@@ -138,7 +141,7 @@
         && !task.attempts.front().isStopped && maySendAgain(task) && isWithinQuota(task.flow);
     const auto index = task.flow.service;
     if (!isCandidate
-        || !m_hedging.isWorthwhile(task.spec.deadline, m_serviceStates[index].runTimes,
+        || !m_hedging.isWorthwhile(task.deadline, m_serviceStates[index].runTimes,
                                    m_registry.freeSlots(index), m_queue.size(), now))
         return;
     const auto target = chooseTarget(task);
@@ -240,7 +243,7 @@
                                Milliseconds now)
 {
     Attempt attempt;
-    attempt.number = task.spec.attempt++;
+    attempt.number = task.nextAttempt++;
     attempt.peer = peer;
     attempt.startedAt = now;
     attempt.chargedMs = m_queue.pop(*task.ticket, now).estimateMs;
@@ -252,8 +255,8 @@
     ++m_stats.forwards;
     task.since = now;
     task.lastDecision = reason;
-    task.lastPlace = peer;
-    m_actions.emplace_back(ForwardTask{task.spec.handle, attempt.number, peer, reason});
+    task.lastPeer = std::make_unique<std::string>(peer);
+    m_actions.emplace_back(ForwardTask{task.handle, attempt.number, peer, reason});
     planHedge(task, attempt.number, now);
     task.attempts.push_back(std::move(attempt));
 }
--- a/src/PlacementPolicy.cpp
+++ b/src/PlacementPolicy.cpp
@@ -31,8 +31,14 @@
     return std::ranges::find(request.avoid, target) != request.avoid.end();
 }
 
-/// Exact knowledge of free slots: a target with the most free slots, and among some of these the
-/// one whose rack has the fewest tasks of the job.
+std::uint16_t countAt(std::span<const std::uint16_t> counts, std::uint32_t index)
+{
+    return index < counts.size() ? counts[index] : std::uint16_t{0};
+}
+
+/// Exact knowledge of free slots: the target with the most free slots. A task of a job goes where
+/// the rack, and then the target, has the fewest tasks of the job, so that one bad rack or target
+/// meets as few of them as possible.
 class OwnerPolicy : public PlacementPolicy
 {
 public:
@@ -45,8 +51,10 @@
                                       const PlacementRequest &request) override
     {
         std::optional<TargetIndex> best;
+        std::pair<std::uint16_t, std::uint16_t> bestLoad;
         std::size_t seen = 0;
-        for (auto rest = registry.filledClasses(request.service); rest != 0 && !best;) {
+        auto rest = registry.filledClasses(request.service);
+        while (rest != 0 && seen < MaxCandidates) {
             const auto freeClass = static_cast<std::uint32_t>(std::bit_width(rest) - 1);
             rest &= ~(std::uint64_t{1} << freeClass);
             const auto &members = registry.classMembers(request.service, freeClass);
@@ -55,25 +63,21 @@
                 const auto target = members[(first + n) % members.size()];
                 if (isAvoided(request, target))
                     continue;
+                if (!request.isJobTask)
+                    return target;
                 ++seen;
-                if (!best
-                    || rackLoad(registry, request, target) < rackLoad(registry, request, *best))
+                const std::pair load{countAt(request.racks, registry.rack(target)),
+                                     countAt(request.targets, target)};
+                if (!best || load < bestLoad) {
                     best = target;
-                if (request.racks.empty() || rackLoad(registry, request, *best) == 0)
-                    break;
+                    bestLoad = load;
+                }
             }
         }
         return best;
     }
 
 private:
-    static std::uint16_t rackLoad(const TargetRegistry &registry, const PlacementRequest &request,
-                                  TargetIndex target)
-    {
-        const auto rack = registry.rack(target);
-        return rack < request.racks.size() ? request.racks[rack] : std::uint16_t{0};
-    }
-
     Generator m_generator;
 };
 
--- a/src/PlacementPolicy.h
+++ b/src/PlacementPolicy.h
@@ -17,8 +17,10 @@
 {
     std::uint32_t service = 0;
     std::span<const TargetIndex> avoid; ///< Targets that must not be chosen.
-    /// Tasks of the same job on each rack, by rack index; empty when spreading does not matter.
+    /// Tasks of the same job on each rack and each target, by index; empty for a single request.
     std::span<const std::uint16_t> racks;
+    std::span<const std::uint16_t> targets;
+    bool isJobTask = false;
 };
 
 /// Chooses among the targets of a registry. A policy may find none although a slot is free.
--- a/src/TargetHealth.cpp
+++ b/src/TargetHealth.cpp
@@ -15,9 +15,9 @@
 /// Score for probation: four failures in a row while the others fail at most 1%, which a sound
 /// target shows once in 10^8 tasks.
 constexpr double ProbationScore = 17.9;
-/// Score of one row of failures from which a proven target is slowed down: two failures while the
-/// others fail at most 1%.
-constexpr double SuspectScore = 8;
+/// Score of one row of failures from which a proven target is slowed down: one failure while the
+/// others fail at most 1%. A sound target is so until the next of its tasks completes.
+constexpr double SuspectScore = 4;
 
 } // namespace
 
@@ -25,8 +25,9 @@
 {
     if (target >= m_targets.size())
         m_targets.resize(target + 1);
-    endProbation(target);
+    clear(target);
     m_targets[target] = Target{};
+    addLimited(target);
 }
 
 void TargetHealth::record(TargetIndex target, std::uint32_t service, bool isFailure)
@@ -41,46 +42,62 @@
 {
     const auto &it = m_services[service];
     const auto rowStart = m_targets[target].rowStart;
-    std::uint64_t count = 0;
-    std::uint64_t failures = 0;
-    std::uint64_t earlier = 0;
-    // Newest first. What happened before the row began counts little, because a service that has
-    // just broken has a good history.
+    struct
+    {
+        double failures = 0.1;
+        double count = 1;
+
+        [[nodiscard]] double rate() const { return failures / count; }
+    } all, recent;
+    // Newest first.
     for (std::size_t n = 1; n <= std::min(it.next, ResultCount); ++n) {
         const auto &result = it.results[(it.next - n) % ResultCount];
         if (result.target == target)
             continue;
-        if (result.number < rowStart && ++earlier > EarlierResults)
-            break;
-        ++count;
-        failures += result.isFailure ? 1 : 0;
+        const auto isRecent = result.number >= rowStart || recent.count <= EarlierResults;
+        for (auto *part : {&all, isRecent ? &recent : nullptr}) {
+            if (part == nullptr)
+                continue;
+            part->failures += result.isFailure ? 1 : 0;
+            part->count += 1;
+        }
     }
-    return (static_cast<double>(failures) + 0.1) / (static_cast<double>(count) + 1);
+    // A service that has just broken has a good history, so recent results count on their own; few
+    // of them may all be good by chance, so the longer history counts as well.
+    return std::max(all.rate(), recent.rate());
 }
 
-void TargetHealth::completed(TargetIndex target, std::uint32_t service)
+void TargetHealth::completed(TargetIndex target, std::uint32_t service, Milliseconds startedAt)
 {
     record(target, service, false);
     auto &it = m_targets[target];
-    it.isProven = true;
-    it.failuresInRow = 0;
-    it.isSuspect = false;
     it.refusals = 0;
-    if (it.isOnProbation) {
-        endProbation(target);
-        it.score = 0;
-        it.isProven = false;
+    // A task that started before the row of failures says little about the target since then. It
+    // lifts the suspicion of a single failure, which a sound target shows now and then.
+    if (it.failuresInRow > 0 && startedAt < it.rowStartedAt) {
+        if (it.failuresInRow == 1 && it.isProven && !it.isOnProbation && it.isSuspect)
+            clear(target);
         return;
     }
-    it.score = std::max(0.0, it.score + std::log((1 - BrokenRate) / (1 - SoundRate)));
+    const auto isProven = !it.isOnProbation;
+    it.failuresInRow = 0;
+    it.score = it.isOnProbation
+        ? 0
+        : std::max(0.0, it.score + std::log((1 - BrokenRate) / (1 - SoundRate)));
+    const auto isLimited = it.isOnProbation || it.isSuspect || !it.isProven;
+    it.isProven = isProven;
+    if (isLimited)
+        clear(target);
 }
 
 double TargetHealth::failed(TargetIndex target, std::uint32_t service, bool isProbationAllowed,
-                            Milliseconds now)
+                            Milliseconds startedAt, Milliseconds now)
 {
     auto &it = m_targets[target];
-    if (it.failuresInRow == 0)
+    if (it.failuresInRow == 0) {
         it.rowStart = m_resultNumber + 1;
+        it.rowStartedAt = startedAt;
+    }
     record(target, service, true);
     const auto rate = failureRateOfOthers(target, service);
     if (rate >= ServiceFaultRate) {
@@ -95,8 +112,10 @@
     // The newest rate is the best one for the whole row: at its start the others may not have had
     // results yet.
     it.score = std::max(it.score + blame, rowScore);
-    if (it.isSuspect)
-        pause(target, FirstPause * std::pow(2.0, std::min(it.failuresInRow - 1, 10U)), now);
+    if (it.isSuspect) {
+        addLimited(target);
+        pause(target, FirstSuspectPause * std::pow(2.0, std::min(it.failuresInRow - 1, 10U)), now);
+    }
     if (it.isOnProbation || (it.score >= ProbationScore && isProbationAllowed))
         startProbation(target, now);
     return blame;
@@ -109,9 +128,10 @@
     auto &it = m_targets[target];
     it.score = std::max(0.0, it.score - blame);
     it.failuresInRow -= it.failuresInRow > 0 ? 1 : 0;
-    it.isSuspect = it.isSuspect && it.failuresInRow > 0;
-    if (it.isOnProbation && it.score < ProbationScore - blame)
-        endProbation(target);
+    const auto isCleared = it.isOnProbation ? it.score < ProbationScore - blame
+                                            : it.isSuspect && it.failuresInRow == 0;
+    if (isCleared)
+        clear(target);
 }
 
 void TargetHealth::refused(TargetIndex target, Milliseconds now)
@@ -135,23 +155,32 @@
     it.backoff = it.isOnProbation ? std::min(it.backoff * 2, MaxBackoff) : FirstBackoff;
     it.trialAt = now + it.backoff;
     it.isTrialRunning = false;
-    if (!it.isOnProbation)
-        m_probation.push_back(target);
+    m_probationCount += it.isOnProbation ? 0 : 1;
     it.isOnProbation = true;
+    addLimited(target);
 }
 
-void TargetHealth::endProbation(TargetIndex target)
+void TargetHealth::addLimited(TargetIndex target)
 {
-    m_targets[target].isOnProbation = false;
-    m_targets[target].isTrialRunning = false;
-    std::erase(m_probation, target);
+    if (std::ranges::find(m_limited, target) == m_limited.end())
+        m_limited.push_back(target);
 }
 
-void TargetHealth::trialStarted(TargetIndex target)
+void TargetHealth::clear(TargetIndex target)
 {
-    m_targets[target].isTrialRunning = m_targets[target].isOnProbation;
+    auto &it = m_targets[target];
+    m_probationCount -= it.isOnProbation ? 1 : 0;
+    it.isOnProbation = false;
+    it.isSuspect = false;
+    it.isTrialRunning = false;
+    it.pausedUntil = {};
+    std::erase(m_limited, target);
+    if (!it.isProven)
+        m_limited.push_back(target);
 }
 
+void TargetHealth::trialStarted(TargetIndex target) { m_targets[target].isTrialRunning = true; }
+
 void TargetHealth::trialEnded(TargetIndex target) { m_targets[target].isTrialRunning = false; }
 
 std::uint32_t TargetHealth::cap(TargetIndex target, Milliseconds now) const
@@ -172,8 +201,11 @@
 bool TargetHealth::isTrialDue(TargetIndex target, bool isRepeatable, Milliseconds now) const
 {
     const auto &it = m_targets[target];
-    const auto dueAt = isRepeatable ? it.trialAt : it.trialAt + it.backoff;
-    return it.isOnProbation && !it.isTrialRunning && it.pausedUntil <= now && dueAt <= now;
+    if (it.isTrialRunning || it.pausedUntil > now)
+        return false;
+    if (!it.isOnProbation)
+        return isRepeatable && (it.isSuspect || !it.isProven);
+    return (isRepeatable ? it.trialAt : it.trialAt + it.backoff) <= now;
 }
 
 std::vector<TargetIndex> TargetHealth::takeEndedPauses(Milliseconds now)
--- a/src/TargetHealth.h
+++ b/src/TargetHealth.h
@@ -23,19 +23,21 @@
     static constexpr std::uint32_t UnprovenCap = 2;
     static constexpr Milliseconds FirstBackoff{1'000};
     static constexpr Milliseconds MaxBackoff{60'000};
-    /// Pause after an attempt that provably did not start, and after a suspect failure; doubles up
-    /// to the heartbeat interval. It gives the other targets time for results to compare with.
+    /// Pause after an attempt that provably did not start; doubles up to the heartbeat interval.
     static constexpr Milliseconds FirstPause{50};
+    /// Pause after a failure that makes the target suspect. It gives the other targets time for
+    /// results to compare with, so it is as long as a usual task.
+    static constexpr Milliseconds FirstSuspectPause{200};
     static constexpr Milliseconds MaxPause{1'000};
 
     /// A new target, or a forgotten index that is used again.
     void targetAdded(TargetIndex target);
 
-    void completed(TargetIndex target, std::uint32_t service);
+    void completed(TargetIndex target, std::uint32_t service, Milliseconds startedAt);
     /// A started attempt failed and nobody stopped it. @param isProbationAllowed whether one more
     /// target of the service may be put on probation. Returns the blame, for forgive().
     double failed(TargetIndex target, std::uint32_t service, bool isProbationAllowed,
-                  Milliseconds now);
+                  Milliseconds startedAt, Milliseconds now);
     /// Takes blame back, because the fault was the job's: it failed on another target as well.
     void forgive(TargetIndex target, double blame);
     /// The attempt provably did not start there.
@@ -48,10 +50,13 @@
     /// Attempts that may be in flight on the target.
     [[nodiscard]] std::uint32_t cap(TargetIndex target, Milliseconds now) const;
     [[nodiscard]] bool isOnProbation(TargetIndex target) const;
-    /// Targets on probation; few, since at most half of a service's targets are.
-    [[nodiscard]] const std::vector<TargetIndex> &probation() const { return m_probation; }
-    /// Whether a trial may start. One that may be repeated is used first; when none came for
-    /// another back-off time, any task is.
+    [[nodiscard]] std::uint32_t probationCount() const { return m_probationCount; }
+    /// Targets that are on probation, suspect or not proven yet. They get work as trials, because a
+    /// target that is given work only when all others are full would never become a sound one
+    /// while the load is low.
+    [[nodiscard]] const std::vector<TargetIndex> &limited() const { return m_limited; }
+    /// Whether a trial may start. On probation a task that may be repeated is used first; when none
+    /// came for another back-off time, any task is.
     [[nodiscard]] bool isTrialDue(TargetIndex target, bool isRepeatable, Milliseconds now) const;
     /// Targets whose cap changes with time alone: those that pause.
     [[nodiscard]] std::vector<TargetIndex> takeEndedPauses(Milliseconds now);
@@ -60,14 +65,16 @@
 private:
     /// Results that are remembered for each service.
     static constexpr std::size_t ResultCount = 64;
-    /// Results of others from before a target's first failure that are compared.
-    static constexpr std::uint64_t EarlierResults = 8;
+    /// Newest results of others that count as recent even if they are from before the target's
+    /// first failure.
+    static constexpr double EarlierResults = 8;
 
     struct Target
     {
         double score = 0;
         std::uint32_t failuresInRow = 0;
         std::uint64_t rowStart = 0; ///< Result number of the first of them.
+        Milliseconds rowStartedAt; ///< When its attempt started.
         bool isProven = false;
         bool isSuspect = false; ///< One attempt at a time, after a pause.
         bool isOnProbation = false;
@@ -95,11 +102,13 @@
     [[nodiscard]] double failureRateOfOthers(TargetIndex target, std::uint32_t service) const;
     void pause(TargetIndex target, Milliseconds duration, Milliseconds now);
     void startProbation(TargetIndex target, Milliseconds now);
-    void endProbation(TargetIndex target);
+    void addLimited(TargetIndex target);
+    void clear(TargetIndex target); ///< Ends probation, suspicion and pauses.
 
     std::vector<Target> m_targets;
     std::vector<Service> m_services;
-    std::vector<TargetIndex> m_probation;
+    std::vector<TargetIndex> m_limited;
+    std::uint32_t m_probationCount = 0;
     std::vector<TargetIndex> m_paused;
     std::uint64_t m_resultNumber = 0;
 };
--- /dev/null
+++ b/test/correctness/DispatchFaultTableTest.cpp
@@ -0,0 +1,183 @@
+#include "DispatchWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace Camphor;
+
+namespace {
+
+enum class Kind { Repeatable, NotRepeatable, Job };
+enum class Moment { Running, AfterCancel, AfterDeadline };
+enum class Place { Target, Peer };
+
+/// Each later attempt is answered with Completed.
+struct FaultCase
+{
+    Place place;
+    Moment moment;
+    AttemptOutcome answer;
+    Kind kind;
+    Outcome outcome;
+    int sends;
+    std::uint32_t started;
+};
+
+constexpr auto Completed = AttemptOutcome::Completed;
+constexpr auto Failed = AttemptOutcome::Failed;
+constexpr auto Unknown = AttemptOutcome::Unknown;
+constexpr auto NotStarted = AttemptOutcome::NotStarted;
+
+std::vector<FaultCase> makeTable()
+{
+    std::vector<FaultCase> table;
+    for (const auto place : {Place::Target, Place::Peer}) {
+        for (const auto kind : {Kind::Repeatable, Kind::NotRepeatable, Kind::Job}) {
+            const auto isRepeatable = kind == Kind::Repeatable;
+            const auto running = [&](AttemptOutcome answer, Outcome outcome, int sends,
+                                     std::uint32_t started) {
+                table.push_back({place, Moment::Running, answer, kind, outcome, sends, started});
+            };
+            running(Completed, Outcome::Completed, 1, 1);
+            running(Failed, isRepeatable ? Outcome::Completed : Outcome::Failed,
+                    isRepeatable ? 2 : 1, isRepeatable ? 2 : 1);
+            running(Unknown, isRepeatable ? Outcome::Completed : Outcome::Unknown,
+                    isRepeatable ? 2 : 1, isRepeatable ? 2 : 1);
+            running(NotStarted, Outcome::Completed, 2, 1);
+            const auto cancelled = [&](AttemptOutcome answer, Outcome outcome,
+                                       std::uint32_t started) {
+                table.push_back({place, Moment::AfterCancel, answer, kind, outcome, 1, started});
+            };
+            cancelled(Completed, Outcome::Completed, 1);
+            cancelled(Failed, Outcome::Failed, 1);
+            cancelled(Unknown, Outcome::Unknown, 1);
+            cancelled(NotStarted, Outcome::NotRun, 0);
+            for (const auto answer : {Completed, Failed, Unknown, NotStarted})
+                table.push_back(
+                    {place, Moment::AfterDeadline, answer, kind, Outcome::Unknown, 1, 1});
+        }
+    }
+    return table;
+}
+
+/// A dispatcher with either some targets or a peer, and one request.
+class Scene
+{
+public:
+    explicit Scene(const FaultCase &it)
+        : m_case(it)
+        , m_dispatcher(makeSettings(),
+                       Declaration::parse("test", "services:\n  - name: a\n").value(),
+                       Milliseconds{0})
+    {
+        if (it.place == Place::Target)
+            for (int n = 0; n < 4; ++n) {
+                TargetAnnouncement target;
+                target.id = "t" + std::to_string(n);
+                target.services = {{"a", 1}};
+                take(m_dispatcher.targetAnnounced(target, m_now));
+            }
+        else
+            for (const auto *name : {"p1", "p2"})
+                take(m_dispatcher.peerDigest(peer(name), m_now));
+    }
+
+    void run()
+    {
+        std::vector<TaskSpec> tasks;
+        for (std::uint32_t n = 0; n < (m_case.kind == Kind::Job ? 2U : 1U); ++n) {
+            TaskSpec task;
+            task.handle = n + 1;
+            task.requestId = "r";
+            task.service = "a";
+            task.deadline = Milliseconds{1000};
+            task.isRepeatable = m_case.kind != Kind::NotRepeatable;
+            task.isJobTask = m_case.kind == Kind::Job;
+            task.taskIndex = n;
+            tasks.push_back(task);
+        }
+        take(m_dispatcher.submit(tasks, m_now));
+        REQUIRE(m_sends[1] == 1);
+        m_now = Milliseconds{100};
+        if (m_case.moment == Moment::AfterCancel)
+            take(m_dispatcher.cancelRequest("r", m_now));
+        if (m_case.moment == Moment::AfterDeadline) {
+            m_now = Milliseconds{2000};
+            take(m_dispatcher.tick(m_now));
+        }
+        report(1, 1, m_case.answer);
+        // Pauses after a refusal end, and the second attempt is answered.
+        m_now += Milliseconds{200};
+        take(m_dispatcher.tick(m_now));
+        if (m_sends[1] == 2)
+            report(1, 2, Completed);
+        // A report that comes twice changes nothing.
+        report(1, 1, Completed);
+    }
+
+    std::optional<FinishTask> m_end;
+    std::map<TaskHandle, int> m_sends;
+
+private:
+    static DispatcherSettings makeSettings()
+    {
+        DispatcherSettings settings;
+        settings.instance = "e";
+        settings.domain = "d";
+        return settings;
+    }
+
+    static Digest peer(const std::string &name)
+    {
+        Digest digest;
+        digest.instance = name;
+        digest.domain = "d";
+        digest.pools = {{"default", 8, 8, 1, 0, 0, {{"a", 8, 8, 0, 200}}, {}}};
+        return digest;
+    }
+
+    void report(TaskHandle handle, std::uint32_t attempt, AttemptOutcome outcome)
+    {
+        const AttemptReport report{attempt, outcome, Milliseconds{50}, "x", 1};
+        take(m_case.place == Place::Target ? m_dispatcher.attemptFinished(handle, report, m_now)
+                                           : m_dispatcher.forwardFinished(handle, report, m_now));
+    }
+
+    void take(const Actions &actions)
+    {
+        for (const auto &action : actions) {
+            if (const auto *start = std::get_if<StartAttempt>(&action))
+                CHECK(start->attempt == static_cast<unsigned>(++m_sends[start->handle]));
+            if (const auto *forward = std::get_if<ForwardTask>(&action))
+                CHECK(forward->attempt == static_cast<unsigned>(++m_sends[forward->handle]));
+            const auto *finish = std::get_if<FinishTask>(&action);
+            if (finish != nullptr && finish->handle == 1) {
+                CHECK_FALSE(m_end.has_value());
+                m_end = *finish;
+            }
+        }
+    }
+
+    FaultCase m_case;
+    Milliseconds m_now;
+    Dispatcher m_dispatcher;
+};
+
+} // namespace
+
+// Guards against a second start after a send whose end is not proven, against an untrue "not run",
+// and against a fault that a retry should have hidden.
+TEST_CASE("each fault has its outcome and number of sends", "[dispatch]")
+{
+    for (const auto &it : makeTable()) {
+        CAPTURE(static_cast<int>(it.place), static_cast<int>(it.moment),
+                static_cast<int>(it.answer), static_cast<int>(it.kind));
+        Scene scene(it);
+        scene.run();
+        REQUIRE(scene.m_end.has_value());
+        CHECK(scene.m_end->outcome == it.outcome);
+        CHECK(scene.m_end->started == it.started);
+        CHECK(scene.m_sends[1] == it.sends);
+    }
+}
