Test the dispatch modules one by one

Cause: admission, quotas, take-over, hand-over, the queue's charges and the failure detector were covered only through generated events.

Change: tests that each name the failure they guard against.

--- /dev/null
+++ b/test/correctness/DispatchModulesTest.cpp
@@ -0,0 +1,403 @@
+#include "Dispatcher.h"
+#include "FlowQueue.h"
+#include "Membership.h"
+#include "RunTimeEstimator.h"
+#include "TargetRegistry.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace Camphor;
+
+namespace {
+
+constexpr auto DeclarationText = R"(
+services:
+  - name: a
+    runTimeMs: 100
+    maxTasksPerJob: 10
+    maxQueueTimeMs: 1000
+    dependsOn:
+      - service: b
+  - name: b
+    runTimeMs: 100
+teams:
+  - name: limited
+    quotaSlots: 3
+)";
+
+class Bench
+{
+public:
+    Bench()
+        : dispatcher({.instance = "e1", .domain = "d"},
+                     Declaration::parse("test", DeclarationText).value(), Milliseconds{0})
+    {
+    }
+
+    void announce(const std::string &id, const std::string &service, std::uint32_t slots,
+                  std::vector<std::string> running = {}, double now = 0)
+    {
+        TargetAnnouncement target;
+        target.id = id;
+        target.services = {{service, slots}};
+        target.running = std::move(running);
+        take(dispatcher.targetAnnounced(target, Milliseconds{now}));
+    }
+
+    TaskSpec task(const std::string &service, const std::string &team = "")
+    {
+        TaskSpec spec;
+        spec.handle = ++m_last;
+        spec.requestId = "r" + std::to_string(m_last);
+        spec.service = service;
+        spec.team = team;
+        spec.deadline = Milliseconds{60'000};
+        spec.isRepeatable = true;
+        return spec;
+    }
+
+    void take(const Actions &actions)
+    {
+        for (const auto &it : actions) {
+            if (const auto *start = std::get_if<StartAttempt>(&it))
+                starts.push_back(*start);
+            if (const auto *forward = std::get_if<ForwardTask>(&it))
+                forwards.push_back(*forward);
+            if (const auto *pull = std::get_if<PullFromPeer>(&it))
+                pulls.push_back(*pull);
+            if (const auto *finish = std::get_if<FinishTask>(&it))
+                ends.push_back(*finish);
+        }
+    }
+
+    Digest peer(std::uint32_t free, std::uint32_t queued) const
+    {
+        Digest digest;
+        digest.instance = "e2";
+        digest.domain = "d";
+        digest.pools = {{"default",
+                         free,
+                         8,
+                         1,
+                         queued,
+                         queued * 100.0,
+                         {{"a", free, 8, queued, 100}, {"b", free, 8, 0, 100}},
+                         {}}};
+        return digest;
+    }
+
+    Dispatcher dispatcher;
+    std::vector<StartAttempt> starts;
+    std::vector<ForwardTask> forwards;
+    std::vector<PullFromPeer> pulls;
+    std::vector<FinishTask> ends;
+
+private:
+    TaskHandle m_last = 0;
+};
+
+std::string refusal(const Bench &bench, const std::string &service, std::uint32_t tasks,
+                    double deadline)
+{
+    return bench.dispatcher.admit(service, "", tasks, Milliseconds{deadline}, Milliseconds{0})
+        .reason;
+}
+
+} // namespace
+
+// Guards against work that waits although it can never run.
+TEST_CASE("work that can never run is refused at once", "[admission]")
+{
+    Bench bench;
+    CHECK(refusal(bench, "b", 1, 1000) == "no-target");
+    bench.announce("t1", "a", 4);
+    CHECK(refusal(bench, "a", 1, 1000) == "dependency-unavailable: b");
+    bench.announce("t2", "b", 4);
+    CHECK(refusal(bench, "a", 1, 1000).empty());
+    CHECK(refusal(bench, "c", 1, 1000) == "unknown-service");
+    CHECK(refusal(bench, "a", 11, 1000) == "too-many-tasks");
+    CHECK(refusal(bench, "a", 1, 0) == "deadline-passed");
+    CHECK(refusal(bench, "a", 0, 1000) == "no-tasks");
+    for (int n = 0; n < 30; ++n) {
+        const auto spec = bench.task("b");
+        bench.take(bench.dispatcher.submit({spec}, Milliseconds{0}));
+        bench.take(bench.dispatcher.attemptFinished(
+            spec.handle, {1, AttemptOutcome::Completed, Milliseconds{100}, {}, -1},
+            Milliseconds{0}));
+    }
+    CHECK(refusal(bench, "b", 1, 20) == "deadline-below-run-time");
+    (void)bench.dispatcher.startDraining(Milliseconds{0});
+    CHECK(refusal(bench, "b", 1, 1000) == "draining");
+}
+
+// Guards against a flood that fills the queue without a bound, and against one that closes the
+// queue for others.
+TEST_CASE("a flow's queue is bounded by time", "[admission]")
+{
+    Bench bench;
+    bench.announce("t2", "b", 4);
+    bench.announce("t1", "a", 4);
+    int admitted = 0;
+    const auto isAdmitted = [&](const std::string &team) {
+        return bench.dispatcher.admit("a", team, 1, Milliseconds{60'000}, Milliseconds{0});
+    };
+    while (isAdmitted("flood").isAdmitted && ++admitted < 1000)
+        bench.take(bench.dispatcher.submit({bench.task("a", "flood")}, Milliseconds{0}));
+    // One second of four slots at 100 ms each, and what runs.
+    CHECK(admitted >= 40);
+    CHECK(admitted <= 45);
+    CHECK(isAdmitted("flood").reason == "queue-full");
+    CHECK(isAdmitted("flood").retryAfter > Milliseconds{0});
+    CHECK(isAdmitted("other").isAdmitted);
+}
+
+// Guards against a team that takes more than its quota, also when the slots are free.
+TEST_CASE("a team stays within its quota", "[dispatch]")
+{
+    Bench bench;
+    for (int n = 0; n < 8; ++n)
+        bench.announce("t" + std::to_string(n), "b", 1);
+    for (int n = 0; n < 6; ++n)
+        bench.take(bench.dispatcher.submit({bench.task("b", "limited")}, Milliseconds{0}));
+    CHECK(bench.starts.size() == 3);
+    bench.take(bench.dispatcher.attemptFinished(
+        bench.starts[0].handle, {1, AttemptOutcome::Completed, Milliseconds{100}, {}, -1},
+        Milliseconds{100}));
+    CHECK(bench.starts.size() == 4);
+}
+
+// Guards against a new owner that fills slots which the attempts of the old owner still use.
+TEST_CASE("attempts that a target lists take slots of its new owner", "[registry]")
+{
+    Bench bench;
+    bench.announce("t1", "b", 2, {"x.0.1", "y.0.1"});
+    bench.take(bench.dispatcher.submit({bench.task("b"), bench.task("b")}, Milliseconds{0}));
+    CHECK(bench.starts.empty());
+    bench.announce("t1", "b", 2, {"y.0.1"}, 1000);
+    CHECK(bench.starts.size() == 1);
+    CHECK(bench.dispatcher.stats().freeSlots == 0);
+}
+
+// Guards against a slot that is given away while the target may still run its task.
+TEST_CASE("an attempt with an unknown end keeps its slot until a heartbeat", "[registry]")
+{
+    Bench bench;
+    bench.announce("t1", "b", 1);
+    auto spec = bench.task("b");
+    spec.isRepeatable = false;
+    bench.take(bench.dispatcher.submit({spec}, Milliseconds{0}));
+    REQUIRE(bench.starts.size() == 1);
+    bench.take(bench.dispatcher.attemptFinished(
+        spec.handle, {1, AttemptOutcome::Unknown, {}, "connection-lost", -1}, Milliseconds{10}));
+    bench.take(bench.dispatcher.submit({bench.task("b")}, Milliseconds{20}));
+    CHECK(bench.starts.size() == 1);
+    bench.announce("t1", "b", 1, {attemptId(spec.requestId, 0, 1)}, 1000);
+    CHECK(bench.starts.size() == 1);
+    bench.announce("t1", "b", 1, {}, 2000);
+    // The failure made the target suspect, and its pause has ended.
+    bench.take(bench.dispatcher.tick(Milliseconds{2010}));
+    CHECK(bench.starts.size() == 2);
+}
+
+// Guards against work for a target that left, went silent, or belongs to another entry.
+TEST_CASE("targets that left or are silent get no work", "[registry]")
+{
+    for (const auto *how : {"left", "released", "silent", "leaving"}) {
+        CAPTURE(how);
+        Bench bench;
+        bench.announce("t1", "b", 4);
+        const std::string text = how;
+        double now = 10;
+        if (text == "left")
+            bench.take(bench.dispatcher.targetLeft("t1", Milliseconds{now}));
+        if (text == "released")
+            bench.take(bench.dispatcher.targetReleased("t1", Milliseconds{now}));
+        if (text == "leaving") {
+            TargetAnnouncement target;
+            target.id = "t1";
+            target.services = {{"b", 4}};
+            target.isLeaving = true;
+            bench.take(bench.dispatcher.targetAnnounced(target, Milliseconds{now}));
+        }
+        if (text == "silent")
+            now = 3100;
+        bench.take(bench.dispatcher.tick(Milliseconds{now}));
+        bench.take(bench.dispatcher.submit({bench.task("b")}, Milliseconds{now}));
+        CHECK(bench.starts.empty());
+        bench.announce("t1", "b", 4, {}, now + 10);
+        CHECK(bench.starts.size() == 1);
+    }
+}
+
+// Guards against a forwarded frame that arrives twice and starts its task twice.
+TEST_CASE("a forwarded attempt is started once and never with another number", "[dispatch]")
+{
+    Bench bench;
+    bench.announce("t1", "b", 4);
+    auto spec = bench.task("b");
+    spec.origin = "e2";
+    spec.originIncarnation = 7;
+    spec.attempt = 3;
+    bench.take(bench.dispatcher.submit({spec}, Milliseconds{0}));
+    auto copy = spec;
+    copy.handle = 99;
+    bench.take(bench.dispatcher.submit({copy}, Milliseconds{1}));
+    REQUIRE(bench.starts.size() == 1);
+    CHECK(bench.starts[0].attempt == 3);
+    REQUIRE(bench.ends.size() == 1);
+    CHECK(bench.ends[0].outcome == Outcome::Unknown);
+    bench.take(bench.dispatcher.attemptFinished(
+        spec.handle, {3, AttemptOutcome::NotStarted, {}, "refused", -1}, Milliseconds{2}));
+    CHECK(bench.starts.size() == 1);
+    REQUIRE(bench.ends.size() == 2);
+    CHECK(bench.ends[1].outcome == Outcome::NotRun);
+}
+
+// Guards against tasks that wait here while a peer has free slots, and the reverse.
+TEST_CASE("tasks move to free peers, and free entries pull", "[dispatch]")
+{
+    Bench bench;
+    bench.take(bench.dispatcher.submit({bench.task("b")}, Milliseconds{0}));
+    CHECK(bench.forwards.empty());
+    bench.take(bench.dispatcher.peerDigest(bench.peer(2, 0), Milliseconds{1}));
+    CHECK(bench.forwards.size() == 1);
+    bench.announce("t1", "b", 4, {}, 2);
+    bench.take(bench.dispatcher.peerDigest(bench.peer(0, 5), Milliseconds{200}));
+    REQUIRE(bench.pulls.size() == 1);
+    CHECK(bench.pulls[0].peer == "e2");
+
+    Bench busy;
+    busy.take(busy.dispatcher.submit({busy.task("b"), busy.task("b")}, Milliseconds{0}));
+    busy.take(busy.dispatcher.peerDigest(busy.peer(0, 0), Milliseconds{1}));
+    busy.take(busy.dispatcher.takeForPeer("e2", 1, Milliseconds{2}));
+    REQUIRE(busy.forwards.size() == 1);
+    CHECK(busy.forwards[0].reason == "pulled");
+    // A drain hands over the rest.
+    busy.take(busy.dispatcher.startDraining(Milliseconds{3}));
+    CHECK(busy.forwards.size() == 2);
+}
+
+// Guards against charges that are lost or counted twice, which would shift the shares for good.
+TEST_CASE("charges add up to the slot time that was used", "[queue]")
+{
+    constexpr std::uint64_t Seed = 4711;
+    CAPTURE(Seed);
+    std::mt19937_64 random(Seed);
+    FlowQueue queue;
+    std::vector<std::pair<QueueTicket, TaskHandle>> waiting;
+    std::vector<double> used(6, 0);
+    double queuedMs = 0;
+    const auto flowOf = [](std::size_t n) {
+        return FlowId{static_cast<std::uint32_t>(n / 2), static_cast<std::uint32_t>(n % 2)};
+    };
+    for (TaskHandle n = 1; n < 50'000; ++n) {
+        const auto flow = random() % 6;
+        const auto estimate = static_cast<double>(random() % 500);
+        waiting.emplace_back(queue.push(flowOf(flow),
+                                        {n, static_cast<Urgency>(random() % 3), random() % 2 == 0,
+                                         Milliseconds{1}, estimate},
+                                        random() % 8 == 0),
+                             n);
+        queuedMs += estimate;
+        if (random() % 3 == 0) {
+            const auto at = random() % waiting.size();
+            REQUIRE(queue.task(waiting[at].first).handle == waiting[at].second);
+            queuedMs -= queue.task(waiting[at].first).estimateMs;
+            queue.remove(waiting[at].first);
+            waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
+        } else if (random() % 2 == 0) {
+            const auto next =
+                queue.next([](std::uint32_t) { return true; }, [](FlowId) { return true; });
+            REQUIRE(next.has_value());
+            const auto id = queue.flowOf(*next);
+            const auto task = queue.pop(*next, Milliseconds{1});
+            std::erase_if(waiting, [&](const auto &it) { return it.second == task.handle; });
+            queuedMs -= task.estimateMs;
+            const auto actual = static_cast<double>(random() % 1000);
+            queue.settle(id, task.estimateMs, actual);
+            used[id.service * 2 + id.team] += actual;
+        }
+        REQUIRE(queue.size() == waiting.size());
+    }
+    CHECK(queue.queuedMs() == Approx(queuedMs));
+    for (std::size_t n = 0; n < used.size(); ++n)
+        CHECK(queue.chargedMs(flowOf(n)) == Approx(used[n]));
+}
+
+// Guards against shares that are not kept while all flows always have work.
+TEST_CASE("flows get slots in proportion to their shares", "[queue]")
+{
+    FlowQueue queue;
+    queue.setServiceShare(0, 3);
+    queue.setServiceShare(1, 1);
+    std::vector<int> popped(2, 0);
+    std::vector<std::uint32_t> running;
+    TaskHandle handle = 0;
+    for (int n = 0; n < 8000; ++n) {
+        for (std::uint32_t service = 0; service < 2; ++service)
+            (void)queue.push({service, 0},
+                             {++handle, Urgency::Normal, false, Milliseconds{1}, 100});
+        const auto next =
+            queue.next([](std::uint32_t) { return true; }, [](FlowId) { return true; });
+        const auto id = queue.flowOf(*next);
+        (void)queue.pop(*next, Milliseconds{1});
+        queue.slotTaken(id);
+        running.push_back(id.service);
+        ++popped[id.service];
+        if (running.size() >= 40) {
+            queue.slotFreed({running.front(), 0});
+            running.erase(running.begin());
+        }
+    }
+    CHECK(popped[0] == Approx(6000).epsilon(0.02));
+}
+
+// Guards against a wrong declaration that rules for good.
+TEST_CASE("a declared run time that is ten times too long is forgotten", "[estimator]")
+{
+    RunTimeEstimator runTimes(Milliseconds{2000});
+    CHECK(runTimes.median() >= Milliseconds{1800});
+    for (int n = 0; n < 100; ++n)
+        runTimes.add(Milliseconds{150.0 + n});
+    CHECK(runTimes.median().count() == Approx(200).epsilon(0.1));
+    CHECK(runTimes.p95() < Milliseconds{300});
+    CHECK(runTimes.minimum().count() == Approx(150).epsilon(0.1));
+}
+
+// Guards against a dead peer that keeps its targets, and a late digest that revives it.
+TEST_CASE("peers are suspected, buried and taken back by their digests", "[membership]")
+{
+    Membership membership({"e1", "d", {{"e2", "d"}, {"e3", "x"}}}, Milliseconds{0});
+    CHECK_FALSE(membership.isSettled(Milliseconds{100}));
+    Digest digest;
+    digest.instance = "e2";
+    digest.domain = "d";
+    digest.incarnation = 5;
+    digest.sequence = 1;
+    CHECK(membership.digestReceived(digest, Milliseconds{100}).size() == 1);
+    CHECK(membership.isSettled(Milliseconds{100}));
+    CHECK(membership.owners() == std::vector<std::string>{"e1", "e2"});
+    CHECK(membership.tick(Milliseconds{2'000}).empty());
+    REQUIRE(membership.tick(Milliseconds{2'200}).size() == 1);
+    CHECK(membership.state("e2") == PeerState::Suspected);
+    CHECK(membership.usablePeers("d").empty());
+    CHECK(membership.owners().size() == 2);
+    REQUIRE(membership.tick(Milliseconds{3'200}).size() == 1);
+    CHECK(membership.state("e2") == PeerState::Dead);
+    CHECK(membership.owners() == std::vector<std::string>{"e1"});
+    // The same sequence again, and an older incarnation, are late messages.
+    CHECK(membership.digestReceived(digest, Milliseconds{3'300}).empty());
+    digest.incarnation = 4;
+    digest.sequence = 9;
+    CHECK(membership.digestReceived(digest, Milliseconds{3'300}).empty());
+    CHECK(membership.state("e2") == PeerState::Dead);
+    digest.incarnation = 6;
+    digest.isDraining = true;
+    const auto events = membership.digestReceived(digest, Milliseconds{3'400});
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].kind == MembershipEvent::Kind::Restarted);
+    CHECK(membership.usablePeers("d").empty());
+    CHECK(membership.owners() == std::vector<std::string>{"e1"});
+}
