Keep the ledger's replica set in the control group

camphorspindle-ledger knew only the static set of its settings.

With `control` in its settings it reads and changes the set through ControlReplicaSetStore and takes the retention from the declaration through ControlSubscription.

--- a/programs/camphorspindle-ledger.cpp
+++ b/programs/camphorspindle-ledger.cpp
@@ -1,6 +1,9 @@
 /// @file camphorspindle-ledger: one replica of a failure domain's submission ledger.
 #include "CommandLine.h"
 #include "CommonSettings.h"
+#include "ControlReplicaSetStore.h"
+#include "ControlSubscription.h"
+#include "Declaration.h"
 #include "LedgerServer.h"
 #include "Log.h"
 #include "ProcessRunner.h"
@@ -81,6 +84,42 @@
     return settings;
 }
 
+/// The control group as this ledger sees it.
+struct ControlClients
+{
+    std::shared_ptr<ControlReplicaSetStore> store;
+    std::shared_ptr<ControlSubscription> declarations;
+
+    void stop() const
+    {
+        if (store)
+            store->stop();
+        if (declarations)
+            declarations->stop();
+    }
+};
+
+ControlClients makeControlClients(boost::asio::io_context &io, const ProgramSettings &settings)
+{
+    if (settings.replicaSet)
+        return {};
+    RpcSettings rpc;
+    rpc.cluster = settings.server.cluster;
+    rpc.instance = settings.server.instance;
+    rpc.incarnation = settings.server.incarnation;
+    return {ControlReplicaSetStore::make(io, settings.control, rpc),
+            ControlSubscription::make(io, settings.control, rpc)};
+}
+
+void applyDeclaration(LedgerServer &server, const VersionedDeclaration &versioned)
+{
+    const auto declaration = Declaration::parse("declaration", versioned.text);
+    if (declaration)
+        server.setRetention(declaration.value().retention());
+    else
+        Log::warning("declaration-refused").kv("error", declaration.error().message);
+}
+
 int run(const ProgramSettings &settings)
 {
     boost::asio::io_context io;
@@ -89,14 +128,26 @@
         folder = SyncedFolder::open(settings.dataFolder).value();
     else
         Log::warning("ledger-without-disk").kv("effect", "claims are lost with the last replica");
-    const auto server = LedgerServer::make(io, settings.server, folder,
-                                           [&](const ReplicaMember &self, std::uint64_t lastEpoch) {
-                                               return std::make_shared<StaticReplicaSetStore>(
-                                                   *settings.replicaSet, self, lastEpoch);
-                                           })
-                            .value();
+    const auto control = makeControlClients(io, settings);
+    const auto makeStore = [&](const ReplicaMember &self,
+                               std::uint64_t lastEpoch) -> std::shared_ptr<ReplicaSetStore> {
+        if (control.store)
+            return control.store;
+        return std::make_shared<StaticReplicaSetStore>(*settings.replicaSet, self, lastEpoch);
+    };
+    const auto server = LedgerServer::make(io, settings.server, folder, makeStore).value();
+    if (control.declarations) {
+        control.declarations->subscribe(0, [server](const VersionedDeclaration &versioned) {
+            applyDeclaration(*server, versioned);
+        });
+    }
     Log::info("listening").kv("port", server->port());
-    runUntilDrained(io, 2, [&] { server->drain(DrainLimit, [&io] { io.stop(); }); });
+    runUntilDrained(io, 2, [&] {
+        server->drain(DrainLimit, [&] {
+            control.stop();
+            io.stop();
+        });
+    });
     return 0;
 }
 
