Send ledger entries before earlier batches are answered

With a disk on the backup, a claim took 2.8 sync times at 1,000 claims/s. Only two batches could be unanswered, so an entry waited for a sync of the backup before it was sent, and then for the next one.

Sixteen batches may be unanswered.

--- a/src/LedgerReplica.cpp
+++ b/src/LedgerReplica.cpp
@@ -9,9 +9,9 @@
 
 using namespace LedgerActions;
 
-/// Unanswered batches of entries to one follower. Two keep a follower's disk busy while the answer
-/// travels; more would only split the batches.
-constexpr int MaxInFlight = 2;
+/// Unanswered batches of entries to one follower. With two, an entry waited for an answer before it
+/// was even sent, which cost about one sync time at 1,000 claims/s with a 3 ms sync.
+constexpr int MaxInFlight = 16;
 
 /// Bytes of entries in one message, well below the bound of a frame.
 constexpr std::size_t MaxBatchBytes = std::size_t{512} * 1024;
