--- a/test/performance/LedgerPerformance.cpp
+++ b/test/performance/LedgerPerformance.cpp
@@ -204,6 +204,7 @@
     auto journal = LedgerJournal::open(folder, retention, log).value();
     for (std::uint64_t n = 1; n <= Claims;) {
         std::vector<LedgerRecord> batch;
+        batch.reserve(1'000);
         for (int k = 0; k < 1'000; ++k)
             batch.push_back(numberedRecord(n++));
         REQUIRE(journal->write(batch).isOk());
