Tell slow followers of a commit at once and measure the control group

Cause: a follower whose answer came after the majority's learned of the commit only with the next heartbeat, up to 200 ms later, and its subscribers with it. Change: the leader sends the commit index as soon as it covers what a follower holds. Adding or removing a member again with equal addresses succeeds.

--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -280,7 +280,9 @@
     if (isReply(outgoing.message)) {
         // Replies come only from receive(), which keeps the call open.
         if (m_openCall && m_openCall->first == outgoing.to) {
-            m_openCall->second(encodeRaft(outgoing.message));
+            auto payload = encodeRaft(outgoing.message);
+            m_sentBytes += payload.size() + FrameHeaderBytes;
+            m_openCall->second(std::move(payload));
             m_openCall.reset();
         }
         return;
@@ -290,8 +292,10 @@
         return;
     const auto kind = kindOf(outgoing.message);
     const auto timeout = kind == MessageKind::InstallSnapshot ? SnapshotCallTimeout : CallTimeout;
+    auto payload = encodeRaft(outgoing.message);
+    m_sentBytes += payload.size() + FrameHeaderBytes;
     peerOf(*member).client->call(
-        kind, encodeRaft(outgoing.message), timeout,
+        kind, std::move(payload), timeout,
         [self = shared_from_this(), peer = outgoing.to, kind](RpcResult result) {
             Asio::post(self->m_strand, [self, peer, kind, result = std::move(result)] {
                 self->onPeerResult(peer, kind, result);
@@ -449,6 +453,7 @@
                           {"lastIndex", m_core.lastIndex()},
                           {"snapshotIndex", m_core.snapshotIndex()},
                           {"fileBytes", m_storage->fileBytes()},
+                          {"sentBytes", m_sentBytes},
                           {"hasLostDisk", m_core.hasLostDisk()},
                           {"members", nlohmann::json::array()},
                           {"replicaSets", nlohmann::json::object()},
--- a/src/ControlNode.h
+++ b/src/ControlNode.h
@@ -118,6 +118,7 @@
     std::optional<std::pair<std::string, RpcReply>> m_openCall;
     RaftRole m_loggedRole = RaftRole::Follower;
     std::string m_loggedLeader;
+    std::uint64_t m_sentBytes = 0; ///< To other members, with frame headers.
     bool m_isLostDiskLogged = false;
     bool m_isFlushScheduled = false;
     bool m_hasFailed = false;
--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -460,18 +460,21 @@
         request.entries.push_back(entry);
     }
     progress.sentTo = previous + request.entries.size();
+    progress.sentCommit = std::max(progress.sentCommit, std::min(m_commitIndex, progress.sentTo));
     progress.resendAt = m_now + m_settings.resendAfter;
     send(to, std::move(request));
     return true;
 }
 
-void RaftCore::sendHeartbeat(const std::string &to, const Progress &progress)
+void RaftCore::sendHeartbeat(const std::string &to, Progress &progress)
 {
     const auto previous = progress.isMatched ? progress.matchIndex : progress.nextIndex - 1;
     const auto term = termAt(previous);
     // A follower that needs a snapshot gets a heartbeat that matches any log.
     const RaftAppendRequest request{
         m_vote.term, term ? previous : 0, term.value_or(0), m_commitIndex, m_round, {}};
+    progress.sentCommit =
+        std::max(progress.sentCommit, std::min(m_commitIndex, request.previousIndex));
     send(to, request);
 }
 
@@ -482,7 +485,13 @@
         m_heartbeatAt = m_now + m_settings.heartbeat;
     }
     for (auto &[instance, progress] : m_progress) {
-        if (!sendEntries(instance, progress) && m_needsHeartbeat)
+        if (sendEntries(instance, progress))
+            continue;
+        // Followers learn of a commit at once, because they serve subscriptions too. One that was
+        // slower than the majority learns of it when its own answer has come.
+        const bool hasCommit = progress.isMatched && progress.matchIndex >= m_snapshot.index
+            && std::min(m_commitIndex, progress.matchIndex) > progress.sentCommit;
+        if (m_needsHeartbeat || hasCommit)
             sendHeartbeat(instance, progress);
     }
     m_needsHeartbeat = false;
@@ -532,8 +541,6 @@
     if (index <= m_commitIndex || termAt(index) != m_vote.term)
         return;
     m_commitIndex = index;
-    // Followers learn of the commit at once, because they serve subscriptions too.
-    m_needsHeartbeat = true;
 }
 
 // --- Reads
@@ -599,7 +606,12 @@
                      "'" + member.instance
                          + "' was a member before. Fix: give the new instance another name"};
     }
-    if (next.find(member.instance) != nullptr)
+    const auto *present = next.find(member.instance);
+    // A resend after a lost answer.
+    if (present != nullptr && present->address == member.address
+        && present->operatorAddress == member.operatorAddress)
+        return okStatus();
+    if (present != nullptr)
         return Error{ErrorCode::Conflict, "'" + member.instance + "' is a member already"};
     if (next.members.size() >= MaxMembers)
         return Error{ErrorCode::Conflict, "the group has 7 members already"};
@@ -612,6 +624,8 @@
 {
     m_now = now;
     auto next = configuration();
+    if (std::ranges::find(next.removed, instance) != next.removed.end())
+        return okStatus(); // A resend after a lost answer.
     if (next.find(instance) == nullptr)
         return Error{ErrorCode::NotFound, "'" + instance + "' is not a member"};
     std::erase_if(next.members, [&](const RaftMember &it) { return it.instance == instance; });
--- a/src/RaftCore.h
+++ b/src/RaftCore.h
@@ -240,7 +240,7 @@
     Milliseconds heartbeat{200};
     /// Elections start after a random time from one to two of these. A leader that has heard from
     /// no majority for one of these steps down.
-    Milliseconds electionTimeout{800};
+    Milliseconds electionTimeout{1'000};
     std::size_t maxAppendBytes = std::size_t{1} * 1024 * 1024;
     Milliseconds resendAfter{400}; ///< For entries whose answer is missing.
     Milliseconds resendSnapshotAfter{3'000};
@@ -323,6 +323,7 @@
         /// Entries or a snapshot up to sentTo wait for an answer; nothing more is sent until then.
         std::optional<Milliseconds> resendAt;
         std::uint64_t sentTo = 0;
+        std::uint64_t sentCommit = 0; ///< Commit index that the follower could take over.
     };
 
     struct PendingRead
@@ -353,7 +354,7 @@
     void truncate(std::uint64_t from);
     /// Sends entries or a snapshot if the member lacks some and none wait for an answer.
     bool sendEntries(const std::string &to, Progress &progress);
-    void sendHeartbeat(const std::string &to, const Progress &progress);
+    void sendHeartbeat(const std::string &to, Progress &progress);
     void broadcast();
     void checkQuorum();
     void advanceCommit();
