--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,11 @@
     libboost-thread-dev libcereal-dev prometheus-cpp-dev libyaml-cpp-dev nlohmann-json3-dev \
     libxxhash-dev catch2 librapidcheck-dev clang-tidy-19 clang-format-19
 
-.PHONY: check packages build format format-check lint test test-address test-thread
+.PHONY: check packages build format format-check lint test test-address test-thread demo measure \
+    slopes
+
+# Options of tools/cluster for demo and measure, such as: make demo CLUSTER_FLAGS="--control 3".
+CLUSTER_FLAGS ?=
 
 ## check: installs the packages, builds, checks format and lint, runs all tests.
 check: packages
@@ -48,3 +52,16 @@
 	cmake -S . -B $(THREAD) -G Ninja -DCAMPHOR_SANITIZE=thread >/dev/null
 	cmake --build $(THREAD) -j $(JOBS) --target camphor_tests
 	cd $(THREAD) && ctest --output-on-failure -R threads
+
+## demo: 8 entries, 50 stand-in targets, a mixed load with a flood; checks the invariants.
+demo: packages build
+	tools/cluster --deployment burnished-vane --name demo --scenario scenarios/demo.yaml \
+	    --report build/demo/report.json $(CLUSTER_FLAGS)
+
+## measure: both deployments under load, floods and faults, compared with the baseline policies.
+measure: packages build
+	tools/measure $(foreach flag,$(CLUSTER_FLAGS),--flag=$(flag))
+
+## slopes: how figures grow with the number of entries, targets, queued tasks and claims.
+slopes: packages build
+	tools/slopes
--- a/programs/camphorload.cpp
+++ b/programs/camphorload.cpp
@@ -33,8 +33,10 @@
      {"killed", "IP:PORT,...", "Entries that are killed on purpose during the run."},
      {"start-logs", "FILE,...", "Start logs of the stand-in targets."},
      {"seed", "N", "Replaces the scenario's seed."},
+     {"slots", "N", "Slots of the fleet; replaces those of the scenario."},
      {"phases", "NAME,...", "Only these phases of the scenario."},
      {"duration-factor", "F", "Multiplies the phases' durations (1)."},
+     {"target-delay-ms", "MS", "One-way delay of the targets; replaces that of the scenario."},
      {"report", "FILE", "Gets the report as JSON."}}};
 
 std::vector<StartRecord> readStarts(const std::vector<std::string> &paths,
@@ -69,6 +71,9 @@
             .value();
     if (line.has("check"))
         return 0;
+    scenario.slots = values.integer("slots", scenario.slots, 1, 1'000'000);
+    scenario.targetDelay =
+        Milliseconds{values.number("target-delay-ms", scenario.targetDelay.count(), 0, 10'000)};
     if (line.has("seed"))
         scenario.seed = static_cast<std::uint64_t>(values.integer("seed", 1, 0, 1L << 62));
     LoadSettings settings{line.has("entries") ? values.addresses("entries") : scenario.entries,
--- a/src/LoadRunner.cpp
+++ b/src/LoadRunner.cpp
@@ -140,7 +140,7 @@
         m_start = std::chrono::steady_clock::now() + toChrono(StartDelay);
         m_observation.startWallMs = wallClockMs() + StartDelay.count();
         Log::info("run-started").kv("requests", m_plan.size());
-        scheduleCancellations();
+        schedulePhases();
         scheduleNext();
         m_io.run();
         m_io.restart();
@@ -287,30 +287,37 @@
     {
         if (m_next < m_plan.size() || m_open > 0)
             return;
-        for (const auto &timer : m_cancelTimers)
+        for (const auto &timer : m_timers)
             timer->cancel();
         m_balancer->stop();
         m_io.stop();
     }
 
-    void scheduleCancellations()
+    void schedulePhases()
     {
-        Milliseconds phaseStart;
+        Milliseconds start;
         for (const auto &phase : m_scenario.phases) {
+            // tools/cluster waits for this line to inject faults in a phase.
+            at(start, [&phase] { Log::info("phase-started").kv("phase", phase.name); });
             if (phase.cancel) {
-                auto timer = std::make_shared<boost::asio::steady_timer>(m_io);
-                timer->expires_at(m_start + toChrono(phaseStart + phase.cancel->at));
-                timer->async_wait(
-                    [this, share = phase.cancel->share](const boost::system::error_code &ec) {
-                        if (!ec)
-                            cancelOpenJobs(share);
-                    });
-                m_cancelTimers.push_back(std::move(timer));
+                at(start + phase.cancel->at,
+                   [this, share = phase.cancel->share] { cancelOpenJobs(share); });
             }
-            phaseStart += phase.duration;
+            start += phase.duration;
         }
     }
 
+    void at(Milliseconds instant, std::function<void()> step)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_io);
+        timer->expires_at(m_start + toChrono(instant));
+        timer->async_wait([step = std::move(step)](const boost::system::error_code &ec) {
+            if (!ec)
+                step();
+        });
+        m_timers.push_back(std::move(timer));
+    }
+
     void cancelOpenJobs(double share)
     {
         std::bernoulli_distribution isChosen(share);
@@ -338,7 +345,7 @@
     std::shared_ptr<HttpClient> m_client;
     std::shared_ptr<EntryBalancer> m_balancer;
     boost::asio::steady_timer m_arrivalTimer;
-    std::vector<std::shared_ptr<boost::asio::steady_timer>> m_cancelTimers;
+    std::vector<std::shared_ptr<boost::asio::steady_timer>> m_timers;
     std::mt19937_64 m_engine;
     std::chrono::steady_clock::time_point m_start;
     LoadObservation m_observation;
