Refuse keys without a shared ledger, and wait for the real bucket map

Reading showed a second way to two homes for one key: until the control group's bucket map arrived, an entry spread the buckets over the declared domains by itself.

Change: an entry with peers and no control group refuses requests with a caller's key as not run (503, no-shared-ledger); none of them is ever run, so the refusal is true. The stand-in target returns the attempt id.

--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -94,7 +94,8 @@
         , m_ledger(m_remoteLedger ? std::shared_ptr<SubmissionLedger>(m_remoteLedger)
                                   : std::make_shared<MemoryLedger>(m_clock))
         , m_flow(FlowServices{io, m_clock, settings.domain, m_cluster, m_pools, m_registry,
-                              *m_ledger, m_metrics})
+                              *m_ledger, m_metrics,
+                              m_remoteLedger != nullptr || settings.peers.empty()})
         , m_directory(m_cluster, m_pools, m_peers)
         , m_peerService(m_clock, m_cluster, m_pools, m_directory, m_flow)
         , m_api(ApiServices{m_settings, m_cluster, m_pools, m_registry, m_flow, m_directory,
@@ -163,7 +164,9 @@
         Log::warning("no-control-group")
             .kv("declaration", m_settings.declarationFile)
             .kv("ledger", "memory")
-            .kv("effect", "claims are lost when this process stops");
+            .kv("effect",
+                m_settings.peers.empty() ? "claims are lost when this process stops"
+                                         : "requests with a caller's key are refused");
         m_source = std::move(source).value();
         return okStatus();
     }
--- a/src/RemoteLedger.cpp
+++ b/src/RemoteLedger.cpp
@@ -122,7 +122,7 @@
                     domain.turn = it->second.turn % domain.addresses.size();
             }
             m_ledgers = std::move(next);
-            if (!m_hasOwnMap)
+            if (!m_hasOwnMap && m_settings.spreadsBuckets)
                 m_map = BucketMap::spread(domains);
             std::erase_if(m_clients, [&](auto &item) {
                 if (used.contains(item.first))
--- a/src/RemoteLedger.h
+++ b/src/RemoteLedger.h
@@ -23,6 +23,10 @@
     Milliseconds attemptTimeout{1'000};
     /// Pause before a call is sent again.
     Milliseconds retryPause{20};
+    /// Spread the buckets over the declared domains until setBucketMap() is called. Without this,
+    /// keys that are not tickets are unreachable until then. An entry must not guess where a
+    /// control group exists: two homes for one key would grant it twice.
+    bool spreadsBuckets = false;
 
     auto operator<=>(const RemoteLedgerSettings &) const = default;
 };
--- a/src/StandInTarget.cpp
+++ b/src/StandInTarget.cpp
@@ -183,7 +183,7 @@
             ++m_fleet->counters.faults;
         const auto time = occupiedTime(entry);
         if (time <= Milliseconds{0}) {
-            answer(entry);
+            answer(entry, attempt);
             return;
         }
         // A second start of an attempt must not end the first one, so that both are seen.
@@ -226,10 +226,10 @@
     void finish(const std::string &attempt)
     {
         if (auto node = m_running.extract(attempt); !node.empty())
-            answer(node.mapped());
+            answer(node.mapped(), attempt.substr(0, attempt.find('+')));
     }
 
-    static void answer(const Run &run)
+    static void answer(const Run &run, const std::string &attempt)
     {
         if (run.fault == TargetFault::Fail) {
             run.respond(makeError(500, "task-failed"), ReplyMode::Whole);
@@ -242,7 +242,10 @@
             mode = ReplyMode::Reset;
         else if (run.fault == TargetFault::AnswerTwice)
             mode = ReplyMode::Twice;
-        run.respond(makeResponse(200, JsonType, makeAnswer(run.task, run.input)), mode);
+        auto response = makeResponse(200, JsonType, makeAnswer(run.task, run.input));
+        // Lets the entry recognise a late second answer on a connection that it has reused.
+        response.headers["camphorspindle-attempt"] = attempt;
+        run.respond(std::move(response), mode);
     }
 
     void stop(const std::string &attempt, const TargetRespond &respond)
--- a/src/SubmissionFlow.cpp
+++ b/src/SubmissionFlow.cpp
@@ -97,6 +97,14 @@
 
 void SubmissionFlow::submit(Submission submission, AnswerCallback callback)
 {
+    if (!submission.key.empty() && !m_services.isLedgerShared) {
+        Log::decision("refused")
+            .kv("request", submission.requestId)
+            .kv("service", submission.service)
+            .kv("reason", "no-shared-ledger");
+        callback(JobAnswer::notRun("no-shared-ledger", 503));
+        return;
+    }
     const auto deadline = deadlineOf(submission);
     const bool isClaimed = needsClaim(submission);
     // With a caller's key an earlier attempt may have run, so only the claim can tell whether a
--- a/src/SubmissionFlow.h
+++ b/src/SubmissionFlow.h
@@ -28,6 +28,9 @@
     JobRegistry &registry;
     SubmissionLedger &ledger;
     EntryMetrics &metrics;
+    /// False when other entries have ledgers of their own. A key that a caller may send to any
+    /// entry is then refused, because two ledgers could both grant it.
+    bool isLedgerShared = true;
 };
 
 /// Executes submissions and answers them with true outcomes. Thread-safe.
--- a/test/EntryFixture.h
+++ b/test/EntryFixture.h
@@ -404,8 +404,11 @@
     [[nodiscard]] std::string settingsOf(int n, const std::string &declaration) const
     {
         const auto &self = m_members[n];
-        std::string text = "instance: " + self.instance + "\ncluster: test\ndomain: a\nlisten: "
-            + self.listen.toString() + "\ndeclaration: " + declaration + "\n" + m_extra;
+        std::string text = "instance: " + self.instance
+            + "\ncluster: test\ndomain: a\nlisten: " + self.listen.toString() + "\n" + m_extra;
+        // With a control group in the extra settings the declaration comes from there.
+        if (m_extra.find("control:") == std::string::npos)
+            text += "declaration: " + declaration + "\n";
         if (m_members.size() == 1)
             return text;
         text += "rpcListen: " + self.rpc.toString() + "\ndigestListen: " + self.digest.toString()
--- a/test/LedgerProcess.h
+++ b/test/LedgerProcess.h
@@ -28,7 +28,7 @@
         m_rpc.cluster = "test";
         m_rpc.instance = name;
         m_rpc.incarnation = 1;
-        ledger = RemoteLedger::make(m_io, m_rpc, {Milliseconds{400}, Milliseconds{20}});
+        ledger = RemoteLedger::make(m_io, m_rpc, {Milliseconds{400}, Milliseconds{20}, true});
         std::vector<LedgerDeclaration> ledgers;
         ledgers.reserve(ports.size());
         for (const auto port : ports)
@@ -102,10 +102,10 @@
 
 /// The settings of one ledger program. @param tail lines for the set or the control group.
 inline std::string ledgerSettings(std::uint16_t port, const std::string &dataFolder,
-                                  const std::string &tail)
+                                  const std::string &tail, const std::string &domain = "north")
 {
-    std::string text = "instance: ledger-" + std::to_string(port)
-        + "\ncluster: test\ndomain: north\nlisten: 127.0.0.1:" + std::to_string(port) + "\n";
+    std::string text = "instance: ledger-" + std::to_string(port) + "\ncluster: test\ndomain: "
+        + domain + "\nlisten: 127.0.0.1:" + std::to_string(port) + "\n";
     if (!dataFolder.empty())
         text += "dataFolder: " + dataFolder + "\n";
     return text + tail;
