--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -1,5 +1,6 @@
 #include "ControlNode.h"
 
+#include "AsioSupport.h"
 #include "Log.h"
 #include "Wire.h"
 
@@ -30,11 +31,6 @@
 /// TCP retries ever more rarely during a partition; a new connection works at once after it.
 constexpr int MaxTimeoutsInRow = 3;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 std::string encodeCommand(const ControlCommand &command)
 {
     const auto kind = static_cast<char>('A' + command.index());
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "HttpClient.h"
 
+#include "AsioSupport.h"
+
 #include <utility>
 
 #include <boost/asio/dispatch.hpp>
@@ -28,20 +30,6 @@
 using Tcp = Asio::ip::tcp;
 using ErrorCodeAsio = boost::system::error_code;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
-std::string lowerCase(Beast::string_view text)
-{
-    std::string lower(text.data(), text.size());
-    std::ranges::transform(lower, lower.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return lower;
-}
-
 class Connection;
 
 /// Idle connections by address.
@@ -234,7 +222,8 @@
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
         for (const auto &field : message)
-            response.headers[lowerCase(field.name_string())] = std::string(field.value());
+            response.headers[lowerCase({field.name_string().data(), field.name_string().size()})] =
+                std::string(field.value());
         response.body = std::move(message.body());
         const bool keepAlive = message.keep_alive() && !hasStrayInput();
         finish(std::move(response), keepAlive);
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "HttpServer.h"
 
+#include "AsioSupport.h"
+
 #include <utility>
 
 #include "Log.h"
@@ -35,20 +37,6 @@
 using Tcp = Asio::ip::tcp;
 using ErrorCodeAsio = boost::system::error_code;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
-std::string lowerCase(Beast::string_view text)
-{
-    std::string lower(text.data(), text.size());
-    std::ranges::transform(lower, lower.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return lower;
-}
-
 HttpResponse makeLimitProblem(int status, const std::string &reason)
 {
     return makeResponse(status, ProblemContentType,
@@ -207,7 +195,8 @@
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
         for (const auto &field : message)
-            request.headers[lowerCase(field.name_string())] = std::string(field.value());
+            request.headers[lowerCase({field.name_string().data(), field.name_string().size()})] =
+                std::string(field.value());
         request.body = std::move(message.body());
         m_state->inFlight.fetch_add(1);
         m_state->handler(std::move(request), makeRespond());
@@ -344,23 +333,8 @@
 
     Status listen()
     {
-        const auto &listen = m_state->settings.listen;
-        ErrorCodeAsio ec;
-        const auto ip = Asio::ip::make_address(listen.host, ec);
-        const Tcp::endpoint endpoint(ip, listen.port);
-        if (!ec)
-            m_acceptor.open(endpoint.protocol(), ec);
-        if (!ec)
-            m_acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
-        if (!ec)
-            m_acceptor.bind(endpoint, ec);
-        if (!ec)
-            m_acceptor.listen(Asio::socket_base::max_listen_connections, ec);
-        if (ec) {
-            return Error{ErrorCode::Unavailable,
-                         "cannot listen on " + listen.toString() + ": " + ec.message()
-                             + ". Fix: choose a free address"};
-        }
+        if (auto status = listenOn(m_acceptor, m_state->settings.listen); !status)
+            return status;
         m_port = m_acceptor.local_endpoint().port();
         return okStatus();
     }
--- a/src/LedgerServer.cpp
+++ b/src/LedgerServer.cpp
@@ -1,5 +1,6 @@
 #include "LedgerServer.h"
 
+#include "AsioSupport.h"
 #include "LedgerJournal.h"
 #include "Log.h"
 #include "RpcClient.h"
@@ -36,11 +37,6 @@
 /// Bytes of claims that one step of a snapshot copies while calls wait.
 constexpr std::size_t SnapshotStepBytes = std::size_t{512} * 1024;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 /// Runs jobs that block, one after the other, on its own thread. A job must not own the object that
 /// owns the thread, because a thread cannot wait for its own end.
 class DiskThread
--- a/src/LoadRunner.cpp
+++ b/src/LoadRunner.cpp
@@ -1,5 +1,6 @@
 #include "LoadRunner.h"
 
+#include "AsioSupport.h"
 #include "EntryBalancer.h"
 #include "HttpClient.h"
 #include "Log.h"
@@ -111,11 +112,6 @@
     }
 }
 
-std::chrono::steady_clock::duration toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 /// One run. All of it is on the thread that calls run().
 class Runner
 {
--- a/src/RemoteLedger.cpp
+++ b/src/RemoteLedger.cpp
@@ -1,5 +1,6 @@
 #include "RemoteLedger.h"
 
+#include "AsioSupport.h"
 #include "LedgerMessages.h"
 #include "Log.h"
 #include "RpcClient.h"
@@ -25,11 +26,6 @@
 
 namespace Asio = boost::asio;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 /// What one reply means for a call.
 struct CallProgress
 {
--- a/src/RpcClient.cpp
+++ b/src/RpcClient.cpp
@@ -1,5 +1,6 @@
 #include "RpcClient.h"
 
+#include "AsioSupport.h"
 #include "FrameStream.h"
 #include "Wire.h"
 
@@ -20,11 +21,6 @@
 using Tcp = Asio::ip::tcp;
 using ErrorCodeAsio = boost::system::error_code;
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 class TcpRpcClient : public RpcClient, public std::enable_shared_from_this<TcpRpcClient>
 {
 public:
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -1,5 +1,6 @@
 #include "RpcServer.h"
 
+#include "AsioSupport.h"
 #include "FrameStream.h"
 #include "Log.h"
 #include "Wire.h"
@@ -154,22 +155,8 @@
 
     Status listen(const Address &listen)
     {
-        ErrorCodeAsio ec;
-        const auto ip = Asio::ip::make_address(listen.host, ec);
-        const Tcp::endpoint endpoint(ip, listen.port);
-        if (!ec)
-            m_acceptor.open(endpoint.protocol(), ec);
-        if (!ec)
-            m_acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
-        if (!ec)
-            m_acceptor.bind(endpoint, ec);
-        if (!ec)
-            m_acceptor.listen(Asio::socket_base::max_listen_connections, ec);
-        if (ec) {
-            return Error{ErrorCode::Unavailable,
-                         "cannot listen on " + listen.toString() + ": " + ec.message()
-                             + ". Fix: choose a free address"};
-        }
+        if (auto status = listenOn(m_acceptor, listen); !status)
+            return status;
         m_port = m_acceptor.local_endpoint().port();
         return okStatus();
     }
--- a/src/StandInTarget.cpp
+++ b/src/StandInTarget.cpp
@@ -1,5 +1,6 @@
 #include "StandInTarget.h"
 
+#include "AsioSupport.h"
 #include "HttpClient.h"
 #include "Log.h"
 #include "StandInTask.h"
@@ -29,11 +30,6 @@
 constexpr Milliseconds MinDrainTime{300};
 constexpr const char *JsonType = "application/json";
 
-std::chrono::microseconds toChrono(Milliseconds duration)
-{
-    return std::chrono::microseconds(static_cast<std::int64_t>(duration.count() * 1000.0));
-}
-
 /// What the targets of a fleet share.
 struct FleetState
 {
--- a/src/TargetServer.cpp
+++ b/src/TargetServer.cpp
@@ -1,5 +1,7 @@
 #include "TargetServer.h"
 
+#include "AsioSupport.h"
+
 #include <utility>
 
 #include "Log.h"
@@ -30,22 +32,14 @@
 constexpr std::size_t MaxInputBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::chrono::milliseconds AcceptRetry{50};
 
-std::string lowerCase(Beast::string_view text)
-{
-    std::string lower(text.data(), text.size());
-    std::ranges::transform(lower, lower.begin(), [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    });
-    return lower;
-}
-
 HttpRequest toRequest(Http::request<Http::string_body> message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message)
-        request.headers[lowerCase(field.name_string())] = std::string(field.value());
+        request.headers[lowerCase({field.name_string().data(), field.name_string().size()})] =
+            std::string(field.value());
     request.body = std::move(message.body());
     return request;
 }
@@ -166,21 +160,8 @@
 
     Status listen(const Address &address)
     {
-        ErrorCodeAsio ec;
-        const Tcp::endpoint endpoint(Asio::ip::make_address(address.host, ec), address.port);
-        if (!ec)
-            m_acceptor.open(endpoint.protocol(), ec);
-        if (!ec)
-            m_acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
-        if (!ec)
-            m_acceptor.bind(endpoint, ec);
-        if (!ec)
-            m_acceptor.listen(Asio::socket_base::max_listen_connections, ec);
-        if (ec) {
-            return Error{ErrorCode::Unavailable,
-                         "cannot listen on " + address.toString() + ": " + ec.message()
-                             + ". Fix: choose a free address"};
-        }
+        if (auto status = listenOn(m_acceptor, address); !status)
+            return status;
         return okStatus();
     }
 
