Let the ledger decide on payloads, and take test ports that stay free

Cause: SubmissionSystemTest failed in 2 of 5 runs on a busy machine: of two requests with one key that reached an entry together, the one whose payload had run got 422, because the entry compared it with the other one, which had no claim yet. That refusal as not run was false.

Change: a payload that differs from that of the local execution is claimed at the ledger; a granted execution becomes the one of its key; a request whose key runs in this process joins it. freePort() uses a range below the ephemeral ports and checks TCP and UDP.

--- a/src/JobRegistry.cpp
+++ b/src/JobRegistry.cpp
@@ -82,6 +82,14 @@
     return {it->second, isNew};
 }
 
+void JobRegistry::put(const std::shared_ptr<Execution> &execution)
+{
+    auto &shard = m_shards[shardOf(execution->key)];
+    const std::lock_guard lock(shard.mutex);
+    const bool isNew = shard.executions.insert_or_assign(execution->key, execution).second;
+    m_size.fetch_add(isNew ? 1 : 0);
+}
+
 std::shared_ptr<Execution> JobRegistry::find(const std::string &key) const
 {
     const auto &shard = m_shards[shardOf(key)];
--- a/src/JobRegistry.h
+++ b/src/JobRegistry.h
@@ -66,6 +66,8 @@
         bool isNew = false;
     };
     Found findOrAdd(const std::shared_ptr<Execution> &execution);
+    /// Makes the execution the one of its key, in place of another one if need be.
+    void put(const std::shared_ptr<Execution> &execution);
     [[nodiscard]] std::shared_ptr<Execution> find(const std::string &key) const;
     void remove(const std::shared_ptr<Execution> &execution);
     [[nodiscard]] std::vector<std::shared_ptr<Execution>> all() const;
--- a/src/SubmissionFlow.cpp
+++ b/src/SubmissionFlow.cpp
@@ -125,7 +125,11 @@
     const auto execution =
         std::make_shared<Execution>(std::move(submission), std::move(key), isClaimed, deadline);
     const auto found = m_services.registry.findOrAdd(execution);
-    if (!found.isNew) {
+    // An execution with another payload may still be without a claim, so it does not show which
+    // payload the key belongs to. The ledger decides.
+    const bool isSamePayload =
+        found.execution->submission.payloadHash == execution->submission.payloadHash;
+    if (!found.isNew && isSamePayload) {
         join(found.execution, execution->submission, deadline, std::move(callback));
         return;
     }
@@ -139,10 +143,6 @@
 void SubmissionFlow::join(const ExecutionPtr &execution, const Submission &submission,
                           Milliseconds deadline, AnswerCallback callback)
 {
-    if (execution->submission.payloadHash != submission.payloadHash) {
-        callback(JobAnswer::notRun("payload-mismatch", 422));
-        return;
-    }
     Log::decision("joined")
         .kv("request", submission.requestId)
         .kv("execution", execution->submission.requestId)
@@ -177,6 +177,7 @@
 {
     switch (reply.state) {
     case ClaimState::Granted:
+        m_services.registry.put(execution);
         start(execution);
         return;
     case ClaimState::Running:
@@ -221,6 +222,13 @@
                             Milliseconds pause)
 {
     const bool isOwn = executor == m_services.cluster.self();
+    const auto running = isOwn ? m_services.registry.find(execution->key) : nullptr;
+    if (running && running != execution
+        && running->submission.payloadHash == execution->submission.payloadHash) {
+        join(running, execution->submission, execution->deadline,
+             [this, execution](const JobAnswer &answer) { end(execution, answer); });
+        return;
+    }
     if (isOwn || m_services.cluster.isDead(executor)) {
         end(execution, JobAnswer::unknown(isOwn ? "end-not-recorded" : "executor-died", 0));
         return;
--- a/test/TestProcess.h
+++ b/test/TestProcess.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 #include <fcntl.h>
 #include <signal.h>
@@ -13,11 +14,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -111,13 +114,27 @@
     pid_t m_pid = -1;
 };
 
-/// A loopback port that was free a moment ago.
+/// A loopback port that is free for TCP and UDP. It lies below the range from which the kernel
+/// takes ports for outgoing connections, so that none of these takes it before it is used.
 inline std::uint16_t freePort()
 {
+    constexpr int FirstPort = 10'000;
+    constexpr int PortCount = 20'000;
+    static std::atomic<int> next{static_cast<int>(::getpid()) * 97 % PortCount};
+    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
     boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(
-        io, {boost::asio::ip::make_address("127.0.0.1"), std::uint16_t{0}});
-    return acceptor.local_endpoint().port();
+    for (int tries = 0; tries < PortCount; ++tries) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % PortCount);
+        boost::system::error_code ec;
+        boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+        boost::asio::ip::udp::socket socket(io, boost::asio::ip::udp::v4());
+        acceptor.bind({loopback, port}, ec);
+        if (!ec)
+            socket.bind({loopback, port}, ec);
+        if (!ec)
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 /// One blocking HTTP call.
--- a/test/correctness/SubmissionSystemTest.cpp
+++ b/test/correctness/SubmissionSystemTest.cpp
@@ -158,3 +158,19 @@
     CHECK(repeatable.status == 200);
     CHECK(deployment.target->totalStarts() == before + 1);
 }
+
+// Guards against a refusal because of another payload that never got the key: both come to one
+// entry at once, and only the ledger knows to whom the key belongs.
+TEST_CASE("the payload that has the key is never refused because of another one",
+          "[process][system]")
+{
+    const Deployment deployment;
+    for (int n = 0; n < 20; ++n) {
+        const auto key = "crew-" + std::to_string(100 + n);
+        REQUIRE(deployment.book(0, key, "lift crew").status == 200);
+        auto other = deployment.beginBook(1, key, "another payload");
+        auto same = deployment.beginBook(1, key, "lift crew");
+        CHECK(same.get().body == "lift crew");
+        CHECK(other.get().status == 422);
+    }
+}
