Count release results in the threads test instead of checking them there

Cause: the thread sanitizer reported 6 races inside Catch2, whose checks are not thread-safe. Change: the threads count, and the main thread checks the counts: exactly one release a key.

--- a/test/correctness/EntryStateTest.cpp
+++ b/test/correctness/EntryStateTest.cpp
@@ -107,6 +107,8 @@
     std::atomic<int> grants{0};
     std::atomic<int> added{0};
     std::atomic<int> answers{0};
+    std::atomic<int> releases{0};
+    std::atomic<int> failedReleases{0};
     std::vector<std::jthread> threads;
     threads.reserve(Threads);
     for (int t = 0; t < Threads; ++t) {
@@ -126,7 +128,8 @@
                 if (const auto step =
                         found.execution->assembler.record(0, {Outcome::Completed, "x", "", 1, {}});
                     step.answer)
-                    CHECK(found.execution->release(*step.answer));
+                    // Catch2's checks are not thread-safe, so the results are counted.
+                    (found.execution->release(*step.answer) ? releases : failedReleases)++;
             }
         });
     }
@@ -134,5 +137,7 @@
     CHECK(grants == Keys);
     CHECK(added == Keys);
     CHECK(answers == Threads * Keys);
+    CHECK(releases == Keys);
+    CHECK(failedReleases == 0);
     CHECK(registry.size() == Keys);
 }
