--- a/programs/camphorctl.cpp
+++ b/programs/camphorctl.cpp
@@ -4,6 +4,7 @@
 #include "ControlSettings.h"
 #include "Declaration.h"
 #include "Ids.h"
+#include "LogTimeline.h"
 #include "OperatorClient.h"
 #include "TextDiff.h"
 
@@ -16,6 +17,7 @@
 #include <iomanip>
 #include <iostream>
 #include <map>
+#include <ranges>
 #include <sstream>
 #include <thread>
 
@@ -46,6 +48,8 @@
     "  status                Show control members, ledgers and entries.\n"
     "  drain TARGET          Give a target no new work.\n"
     "  explain REQUEST       Say where a request is and why.\n"
+    "  logs REQUEST FILE...  Put the lines of several logs about a request in order; - reads\n"
+    "                        standard input.\n"
     "  member add INSTANCE RPC-ADDRESS OPERATOR-ADDRESS\n"
     "  member remove INSTANCE\n\n"
     "Exit codes: 0 success, 1 differences or failure, 2 wrong usage or declaration, 3 conflict,\n"
@@ -83,12 +87,16 @@
 
 std::string readText(const std::string &path)
 {
+    std::ostringstream text;
+    if (path == "-") {
+        text << std::cin.rdbuf();
+        return text.str();
+    }
     std::ifstream file(path);
     if (!file) {
         throw UserError(Error{ErrorCode::InvalidDeclaration,
                               path + ": cannot be read. Fix: check the path and its permissions"});
     }
-    std::ostringstream text;
     text << file.rdbuf();
     return text.str();
 }
@@ -172,12 +180,14 @@
             {"status", {0, [this] { return status(); }}},
             {"drain", {1, [this] { return drain(); }}},
             {"explain", {1, [this] { return explain(); }}},
+            {"logs", {2, [this] { return logs(); }}},
             {"member", {2, [this] { return member(); }}}};
         const auto name = m_line.arguments.empty() ? std::string() : m_line.arguments.front();
         const auto it = commands.find(name);
-        const bool isMember = name == "member";
+        const bool takesMore = name == "member" || name == "logs";
         const auto count = m_line.arguments.size() - (m_line.arguments.empty() ? 0 : 1);
-        if (it == commands.end() || (isMember ? count < 2 : count != it->second.first)) {
+        if (it == commands.end()
+            || (takesMore ? count < it->second.first : count != it->second.first)) {
             std::cerr << "camphorctl: unknown command or wrong arguments. Fix: see 'camphorctl "
                          "--help'\n";
             return Invalid;
@@ -576,6 +586,33 @@
 
     int explain() { return askEntries("GET", "/v1/explain/" + argument(), false); }
 
+    /// Asks nobody: on call there may be nothing but the logs.
+    int logs()
+    {
+        std::vector<LogSource> sources;
+        std::ranges::transform(
+            m_line.arguments | std::views::drop(2), std::back_inserter(sources),
+            [](const std::string &path) { return LogSource{path, readText(path)}; });
+        const auto entries = requestTimeline(sources, argument());
+        if (entries.empty()) {
+            std::cerr << "camphorctl: no line names the request. Fix: give the logs of all "
+                         "entries; 'lines-left-out' says what was not written\n";
+            return Different;
+        }
+        for (const auto &entry : entries) {
+            if (m_isJson) {
+                std::cout << Json{{"source", entry.source},
+                                  {"time", entry.timeSeconds},
+                                  {"line", entry.text}}
+                          << "\n";
+            } else {
+                std::cout << std::fixed << std::setprecision(3) << entry.timeSeconds << ' '
+                          << entry.source << ": " << entry.text << "\n";
+            }
+        }
+        return Success;
+    }
+
     int member()
     {
         const auto &arguments = m_line.arguments;
--- a/programs/camphorspindle-control.cpp
+++ b/programs/camphorspindle-control.cpp
@@ -44,22 +44,23 @@
     boost::asio::io_context io;
     auto storage = RaftStorage::open(settings.dataFolder).value();
     if (storage->cutBytes() > 0)
-        Log::warning("log-tail-cut").kv("bytes", storage->cutBytes());
+        Log::warning(LogEvent::LogTailCut).kv("bytes", storage->cutBytes());
     if (storage->isNew())
-        Log::warning("waiting-to-be-added")
+        Log::warning(LogEvent::WaitingToBeAdded)
             .kv("instance", settings.instance)
             .kv("fix",
                 "add it with 'camphorctl member add', or run --initialise once on each "
                 "member of a new group");
     if (settings.members.size() < 3)
-        Log::warning("trial-group").kv("reason", "the loss of this one disk loses everything");
+        Log::warning(LogEvent::TrialGroup)
+            .kv("reason", "the loss of this one disk loses everything");
     std::atomic<int> exitCode = 0;
     [[maybe_unused]] const auto server =
         ControlServer::make(io, settings, std::move(storage), [&](const Error &) {
             exitCode = StorageExitCode;
             io.stop();
         }).value();
-    Log::info("listening")
+    Log::info(LogEvent::Listening)
         .kv("rpc", settings.listen.toString())
         .kv("operators", settings.operatorListen.toString());
     runUntilDrained(io, 2, [&] { io.stop(); });
--- a/programs/camphorspindle-ledger.cpp
+++ b/programs/camphorspindle-ledger.cpp
@@ -117,7 +117,7 @@
     if (declaration)
         server.setRetention(declaration.value().retention());
     else
-        Log::warning("declaration-refused").kv("error", declaration.error().message);
+        Log::warning(LogEvent::DeclarationRefused).kv("error", declaration.error().message);
 }
 
 int run(const ProgramSettings &settings)
@@ -127,7 +127,8 @@
     if (!settings.dataFolder.empty())
         folder = SyncedFolder::open(settings.dataFolder).value();
     else
-        Log::warning("ledger-without-disk").kv("effect", "claims are lost with the last replica");
+        Log::warning(LogEvent::LedgerWithoutDisk)
+            .kv("effect", "claims are lost with the last replica");
     const auto control = makeControlClients(io, settings);
     const auto makeStore = [&](const ReplicaMember &self,
                                std::uint64_t lastEpoch) -> std::shared_ptr<ReplicaSetStore> {
@@ -141,7 +142,7 @@
             applyDeclaration(*server, versioned);
         });
     }
-    Log::info("listening").kv("port", server->port());
+    Log::info(LogEvent::Listening).kv("port", server->port());
     runUntilDrained(io, 2, [&] {
         server->drain(DrainLimit, [&] {
             control.stop();
--- a/programs/camphortarget.cpp
+++ b/programs/camphortarget.cpp
@@ -60,7 +60,7 @@
 {
     if (request.method == "PUT" && request.path() == "/v1/faults") {
         const auto status = fleet.setFaults(request.body);
-        Log::info("faults-set").kv("faults", request.body).kv("accepted", status.isOk());
+        Log::info(LogEvent::FaultsSet).kv("faults", request.body).kv("accepted", status.isOk());
         return status ? makeResponse(200, "text/plain", "")
                       : makeResponse(400, "text/plain", status.error().message + "\n");
     }
@@ -91,12 +91,12 @@
                                  })
                     .value();
     }
-    Log::info("serving")
+    Log::info(LogEvent::Serving)
         .kv("first", fleet->addresses().front().toString())
         .kv("targets", fleet->addresses().size());
     runUntilDrained(io, 1, [&] { fleet->startDrain(); });
     const auto counters = fleet->counters();
-    Log::info("stopped").kv("starts", counters.starts).kv("refused", counters.refused);
+    Log::info(LogEvent::Stopped).kv("starts", counters.starts).kv("refused", counters.refused);
     return 0;
 }
 
--- a/src/AppliedDeclaration.cpp
+++ b/src/AppliedDeclaration.cpp
@@ -126,12 +126,14 @@
 {
     const std::lock_guard lock(m_applyMutex);
     if (offered.version <= current().version) {
-        Log::info("declaration-ignored").kv("version", offered.version).kv("reason", "not-newer");
+        Log::info(LogEvent::DeclarationIgnored)
+            .kv("version", offered.version)
+            .kv("reason", "not-newer");
         return;
     }
     auto declaration = Declaration::parse("declaration", offered.text);
     if (!declaration) {
-        Log::error("declaration-rejected")
+        Log::error(LogEvent::DeclarationRejected)
             .kv("version", offered.version)
             .kv("error", declaration.error().message);
         return;
@@ -140,7 +142,7 @@
         const auto status = replaceFile(m_dataFolder, FileName,
                                         std::to_string(offered.version) + "\n" + offered.text);
         if (!status)
-            Log::error("declaration-not-kept").kv("error", status.error().message);
+            Log::error(LogEvent::DeclarationNotKept).kv("error", status.error().message);
     }
     put(offered, std::move(declaration).value());
 }
@@ -148,7 +150,7 @@
 void AppliedDeclaration::put(const VersionedDeclaration &next, Declaration declaration)
 {
     m_apply(std::make_shared<const Declaration>(std::move(declaration)));
-    Log::info("declaration-applied").kv("version", next.version);
+    Log::info(LogEvent::DeclarationApplied).kv("version", next.version);
     const std::lock_guard lock(m_mutex);
     m_current = next;
 }
--- a/src/CallerApi.cpp
+++ b/src/CallerApi.cpp
@@ -106,7 +106,7 @@
 {
     m_services.metrics.countRefusal();
     const auto requestId = makeRandomId();
-    Log::decision("refused").kv("request", requestId).kv("reason", error.message);
+    Log::decision(LogEvent::Refused).kv("request", requestId).kv("reason", error.message);
     if (key.empty()) {
         respond(makeProblem(JobAnswer::notRun(error.message, 400), requestId));
         return;
--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -2,6 +2,7 @@
 
 #include "AsioSupport.h"
 #include "Log.h"
+#include "RpcDecode.h"
 #include "Wire.h"
 
 #include <boost/asio/post.hpp>
@@ -160,6 +161,34 @@
 
 // --- Input
 
+template <typename T>
+bool ControlNode::receiveAs(const std::string &from, const std::string &payload,
+                            const RpcReply &reply)
+{
+    if (auto message = decodeOrRefuse<T>(payload, reply))
+        receive(from, std::move(*message), reply);
+    return true;
+}
+
+bool ControlNode::onMemberCall(const std::string &from, MessageKind kind,
+                               const std::string &payload, const RpcReply &reply)
+{
+    switch (kind) {
+    case MessageKind::PreVote:
+    case MessageKind::Vote:
+        return receiveAs<RaftVoteRequest>(from, payload, reply);
+    case MessageKind::AppendEntries:
+        return receiveAs<RaftAppendRequest>(from, payload, reply);
+    case MessageKind::InstallSnapshot:
+        return receiveAs<RaftSnapshotRequest>(from, payload, reply);
+    case MessageKind::ControlStatus:
+        reply(statusJson());
+        return true;
+    default:
+        return false;
+    }
+}
+
 void ControlNode::receive(const std::string &from, const RaftMessage &message, RpcReply reply)
 {
     if (m_hasFailed) {
@@ -408,7 +437,7 @@
     if (m_core.role() != m_loggedRole || m_core.leader() != m_loggedLeader) {
         m_loggedRole = m_core.role();
         m_loggedLeader = m_core.leader();
-        Log::info("role-changed")
+        Log::info(LogEvent::RoleChanged)
             .kv("role", roleName(m_loggedRole))
             .kv("term", m_core.term())
             .kv("leader", m_loggedLeader);
@@ -416,7 +445,7 @@
     if (m_onChange)
         m_onChange();
     if (m_core.hasLostDisk() && !std::exchange(m_isLostDiskLogged, true))
-        Log::error("disk-lost")
+        Log::error(LogEvent::DiskLost)
             .kv("instance", m_settings.instance)
             .kv("fix", "remove this member from the group and add one with a new name");
     armTimer();
@@ -433,7 +462,7 @@
         fail(status.error());
         return true;
     }
-    Log::info("log-compacted")
+    Log::info(LogEvent::LogCompacted)
         .kv("index", m_core.snapshotIndex())
         .kv("bytes", m_storage->fileBytes());
     return false;
@@ -457,7 +486,9 @@
     // Nothing is answered from here on: an answer could promise what the disk does not hold.
     m_hasFailed = true;
     m_timer.cancel();
-    Log::error("voter-stopped").kv("instance", m_settings.instance).kv("reason", error.message);
+    Log::error(LogEvent::VoterStopped)
+        .kv("instance", m_settings.instance)
+        .kv("reason", error.message);
     m_onFatal(error);
 }
 
--- a/src/ControlNode.h
+++ b/src/ControlNode.h
@@ -49,8 +49,10 @@
     /// Called on the strand after anything was applied or the role or leader has changed.
     void setOnChange(std::function<void()> onChange) { m_onChange = std::move(onChange); }
 
-    /// Handles a message of another member; the reply goes back on the same call.
-    void receive(const std::string &from, const RaftMessage &message, RpcReply reply);
+    /// Handles a call of another member; the reply goes back on the same call.
+    /// @return whether the call is one between members; others are left to the caller.
+    [[nodiscard]] bool onMemberCall(const std::string &from, MessageKind kind,
+                                    const std::string &payload, const RpcReply &reply);
     /// Commits a command. Must only be called on the leader.
     void propose(const ControlCommand &command, CommandCallback callback);
     /// Calls back with true when the applied state is at least as new as the call.
@@ -96,6 +98,9 @@
         int timeouts = 0; ///< In a row.
     };
 
+    template <typename T>
+    bool receiveAs(const std::string &from, const std::string &payload, const RpcReply &reply);
+    void receive(const std::string &from, const RaftMessage &message, RpcReply reply);
     void scheduleFlush();
     /// Carries out the core's actions until there are none.
     void flush();
--- a/src/ControlServer.cpp
+++ b/src/ControlServer.cpp
@@ -1,6 +1,7 @@
 #include "ControlServer.h"
 
 #include "Log.h"
+#include "RpcDecode.h"
 #include "Wire.h"
 
 #include <boost/asio/post.hpp>
@@ -102,28 +103,6 @@
     return makeResponse(status, ProblemContentType, body.dump());
 }
 
-template <typename T>
-bool decodeOrRefuse(const std::string &payload, const RpcReply &reply, T &message)
-{
-    auto decoded = decodeMessage<T>(payload);
-    if (!decoded) {
-        reply(decoded.error());
-        return false;
-    }
-    message = std::move(decoded).value();
-    return true;
-}
-
-/// Decodes a request of another member and hands it to the node.
-template <typename T>
-void receiveRaft(ControlNode &node, const std::string &from, const std::string &payload,
-                 const RpcReply &reply)
-{
-    T message;
-    if (decodeOrRefuse(payload, reply, message))
-        node.receive(from, std::move(message), reply);
-}
-
 /// The reply of a command, or one that says why there is none.
 template <typename T>
 T commandReply(const std::optional<ControlReply> &reply)
@@ -204,14 +183,9 @@
 void ControlServer::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
                           const RpcReply &reply)
 {
+    if (m_node->onMemberCall(peer.instance, kind, payload, reply))
+        return;
     switch (kind) {
-    case MessageKind::PreVote:
-    case MessageKind::Vote:
-        return receiveRaft<RaftVoteRequest>(*m_node, peer.instance, payload, reply);
-    case MessageKind::AppendEntries:
-        return receiveRaft<RaftAppendRequest>(*m_node, peer.instance, payload, reply);
-    case MessageKind::InstallSnapshot:
-        return receiveRaft<RaftSnapshotRequest>(*m_node, peer.instance, payload, reply);
     case MessageKind::Subscribe:
         return onSubscribe(payload, reply);
     case MessageKind::Apply:
@@ -220,8 +194,6 @@
         return onCompareAndSet(payload, reply);
     case MessageKind::ReadReplicaSet:
         return onReadReplicaSet(payload, reply);
-    case MessageKind::ControlStatus:
-        return reply(m_node->statusJson());
     case MessageKind::History:
         return onHistory(payload, reply);
     case MessageKind::MoveBucket:
@@ -233,18 +205,17 @@
 
 void ControlServer::onSubscribe(const std::string &payload, const RpcReply &reply)
 {
-    SubscribeRequest request;
-    if (!decodeOrRefuse(payload, reply, request))
+    const auto request = decodeOrRefuse<SubscribeRequest>(payload, reply);
+    if (!request)
         return;
-    m_node->subscribe(request,
+    m_node->subscribe(*request,
                       [reply](const SubscribeReply &update) { reply(encodeMessage(update)); });
 }
 
 void ControlServer::onHistory(const std::string &payload, const RpcReply &reply)
 {
-    HistoryRequest request;
-    if (decodeOrRefuse(payload, reply, request))
-        reply(encodeMessage(HistoryReply{newestRecords(request.limit)}));
+    if (const auto request = decodeOrRefuse<HistoryRequest>(payload, reply))
+        reply(encodeMessage(HistoryReply{newestRecords(request->limit)}));
 }
 
 void ControlServer::apply(std::string requestId, std::uint64_t expectedVersion, std::string text,
@@ -268,7 +239,7 @@
     ApplyCommand command{std::move(requestId), expectedVersion, std::move(text), {}, wallClockMs()};
     for (const auto &domain : declaration.value().domains())
         command.domains.push_back(domain.name);
-    Log::info("change-received")
+    Log::info(LogEvent::ChangeReceived)
         .kv("request", command.requestId)
         .kv("expectedVersion", expectedVersion);
     const auto id = command.requestId;
@@ -277,7 +248,7 @@
                      id](const std::optional<ControlReply> &result) {
                         auto reply = commandReply<ApplyReply>(result);
                         reply.expectedVersion = expectedVersion;
-                        Log::info("change-answered")
+                        Log::info(LogEvent::ChangeAnswered)
                             .kv("request", id)
                             .kv("result", controlOutcomeName(reply.outcome))
                             .kv("version", reply.version);
@@ -287,11 +258,11 @@
 
 void ControlServer::onApply(const std::string &payload, const RpcReply &reply)
 {
-    ApplyRequest request;
-    if (!decodeOrRefuse(payload, reply, request))
+    auto request = decodeOrRefuse<ApplyRequest>(payload, reply);
+    if (!request)
         return;
     ApplyReply refusal;
-    if (!isEqualSecret(request.token, m_settings.token)) {
+    if (!isEqualSecret(request->token, m_settings.token)) {
         refusal.outcome = ControlOutcome::Refused;
         reply(encodeMessage(refusal));
     } else if (!m_node->isLeader()) {
@@ -299,36 +270,36 @@
         refusal.leader = leaderAddress();
         reply(encodeMessage(refusal));
     } else {
-        apply(std::move(request.requestId), request.expectedVersion, std::move(request.text),
+        apply(std::move(request->requestId), request->expectedVersion, std::move(request->text),
               [reply](const ApplyReply &result) { reply(encodeMessage(result)); });
     }
 }
 
 void ControlServer::onCompareAndSet(const std::string &payload, const RpcReply &reply)
 {
-    CompareAndSetCommand command;
-    if (!decodeOrRefuse(payload, reply, command))
+    const auto command = decodeOrRefuse<CompareAndSetCommand>(payload, reply);
+    if (!command)
         return;
     if (!m_node->isLeader()) {
         reply(encodeMessage(ReplicaSetReply{ControlOutcome::NotLeader, {}, {}, leaderAddress()}));
         return;
     }
-    m_node->propose(command, [reply](const std::optional<ControlReply> &result) {
+    m_node->propose(*command, [reply](const std::optional<ControlReply> &result) {
         reply(encodeMessage(commandReply<ReplicaSetReply>(result)));
     });
 }
 
 void ControlServer::onMoveBucket(const std::string &payload, const RpcReply &reply)
 {
-    MoveBucketRequest request;
-    if (!decodeOrRefuse(payload, reply, request))
+    const auto request = decodeOrRefuse<MoveBucketRequest>(payload, reply);
+    if (!request)
         return;
-    if (!isEqualSecret(request.token, m_settings.token)) {
+    if (!isEqualSecret(request->token, m_settings.token)) {
         reply(encodeMessage(MoveBucketReply{ControlOutcome::Refused, {}, "wrong token", {}}));
     } else if (!m_node->isLeader()) {
         reply(encodeMessage(MoveBucketReply{ControlOutcome::NotLeader, {}, {}, leaderAddress()}));
     } else {
-        m_node->propose(request.command, [reply](const std::optional<ControlReply> &result) {
+        m_node->propose(request->command, [reply](const std::optional<ControlReply> &result) {
             reply(encodeMessage(commandReply<MoveBucketReply>(result)));
         });
     }
@@ -336,18 +307,18 @@
 
 void ControlServer::onReadReplicaSet(const std::string &payload, const RpcReply &reply)
 {
-    ReadReplicaSetRequest request;
-    if (!decodeOrRefuse(payload, reply, request))
+    const auto request = decodeOrRefuse<ReadReplicaSetRequest>(payload, reply);
+    if (!request)
         return;
     if (!m_node->isLeader()) {
         reply(encodeMessage(ReplicaSetReply{ControlOutcome::NotLeader, {}, {}, leaderAddress()}));
         return;
     }
-    m_node->read([self = shared_from_this(), request, reply](bool isConfirmed) {
+    m_node->read([self = shared_from_this(), domain = request->domain, reply](bool isConfirmed) {
         ReplicaSetReply result;
         result.outcome = isConfirmed ? ControlOutcome::Accepted : ControlOutcome::Unavailable;
         if (isConfirmed)
-            result.current = self->m_node->state().replicaSet(request.domain);
+            result.current = self->m_node->state().replicaSet(domain);
         reply(encodeMessage(result));
     });
 }
@@ -357,7 +328,7 @@
 void ControlServer::onHttp(const HttpRequest &request, const HttpRespond &respond)
 {
     if (!isEqualSecret(request.header("authorization"), "Bearer " + m_settings.token)) {
-        Log::warning("operator-refused").kv("path", request.path());
+        Log::warning(LogEvent::OperatorRefused).kv("path", request.path());
         auto response = makeProblem(401, ControlOutcome::Refused,
                                     "missing or wrong token. Fix: send 'Authorization: Bearer "
                                     "TOKEN' with the token of tokenFile");
--- a/src/ControlSubscription.cpp
+++ b/src/ControlSubscription.cpp
@@ -95,7 +95,7 @@
             ? decodeMessage<SubscribeReply>(*payload)
             : Result<SubscribeReply>(std::get<RpcFailure>(result).error);
         if (!reply) {
-            Log::warning("subscription-failed")
+            Log::warning(LogEvent::SubscriptionFailed)
                 .kv("member", m_addresses[m_member].toString())
                 .kv("reason", reply.error().message);
             tryNextMember();
--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -20,11 +20,27 @@
 
 void ControlWatch::start() { addSeeds(m_settings.seeds); }
 
+void ControlWatch::stop()
+{
+    m_isStopped = true;
+    for (auto &[address, source] : m_sources) {
+        source.timer->cancel();
+        if (const auto client = std::exchange(source.client, nullptr))
+            client->stop();
+    }
+}
+
 void ControlWatch::addSeeds(const std::vector<std::string> &addresses)
 {
     for (const auto &address : addresses) {
-        if (!m_sources.contains(address) && Address::parse(address)) {
-            m_sources[address].timer = std::make_unique<boost::asio::steady_timer>(m_io);
+        if (!Address::parse(address)) {
+            Log::warning(LogEvent::AddressUnreadable).kv("address", address);
+            continue;
+        }
+        auto &source = m_sources[address];
+        source.namedAt = m_clock.now();
+        if (!source.timer) {
+            source.timer = std::make_unique<boost::asio::steady_timer>(m_io);
             watch(address);
         }
     }
@@ -58,39 +74,48 @@
 
 void ControlWatch::onResult(const std::string &address, const RpcResult &result)
 {
+    if (m_isStopped)
+        return;
     auto &source = m_sources.at(address);
     if (const auto *failure = std::get_if<RpcFailure>(&result)) {
         if (std::exchange(source.isConnected, false))
-            Log::warning("control-lost")
+            Log::warning(LogEvent::ControlLost)
                 .kv("address", address)
                 .kv("reason", failure->error.message);
         // A connection can go silent for good, so the next call uses a new one.
         source.client->stop();
         source.client.reset();
         source.isLeader = false;
+        if (isReplaced(source)) {
+            Log::info(LogEvent::ControlForgotten).kv("address", address);
+            m_sources.erase(address);
+            return;
+        }
         retryLater(address);
         return;
     }
     auto update = decodeMessage<FleetUpdate>(std::get<std::string>(result));
     if (!update) {
-        Log::warning("message-unreadable").kv("address", address);
+        Log::warning(LogEvent::MessageUnreadable).kv("address", address);
         retryLater(address);
         return;
     }
     if (!std::exchange(source.isConnected, true))
-        Log::info("control-regained").kv("address", address);
+        Log::info(LogEvent::ControlRegained).kv("address", address);
     onUpdate(source, std::move(update).value());
     watch(address);
 }
 
 void ControlWatch::onUpdate(Source &source, FleetUpdate update)
 {
+    const auto now = m_clock.now();
+    m_updatedAt = now;
     source.epoch = update.directoryEpoch;
     source.revision = update.directoryRevision;
     source.isLeader = update.isLeader;
-    bool hasChanged = false;
+    bool hasChanged = m_belief.instances.forgetGone(now);
     for (const auto &report : update.instances)
-        hasChanged = m_belief.instances.merge(report) || hasChanged;
+        hasChanged = m_belief.instances.merge(report, now) || hasChanged;
     // A member that lags or was cut off may know less; nothing ever goes back.
     if (update.documentVersion > m_belief.documentVersion && !update.documentText.empty()) {
         m_belief.documentVersion = update.documentVersion;
@@ -103,7 +128,7 @@
             continue;
         known = grant;
         hasChanged = true;
-        Log::info("cell-held")
+        Log::info(LogEvent::CellHeld)
             .kv("cell", grant.name())
             .kv("holder", grant.holder)
             .kv("token", grant.token);
@@ -118,6 +143,12 @@
         m_onChange();
 }
 
+bool ControlWatch::isReplaced(const Source &source) const
+{
+    // While no member answers, nobody could name the address: it may be this entry that is cut off.
+    return m_updatedAt - source.namedAt > m_settings.forgetAfter;
+}
+
 void ControlWatch::retryLater(const std::string &address)
 {
     auto &timer = *m_sources.at(address).timer;
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -40,6 +40,8 @@
     /// Time for an answer beyond the wait, before the connection counts as silent.
     Milliseconds answerSlack{500};
     Milliseconds retryPause{250};
+    /// An address that neither answers nor is named by any member for this long was replaced.
+    Milliseconds forgetAfter{60'000};
 };
 
 /// Long-polls every known control instance. All calls come from the thread of the io_context.
@@ -51,10 +53,14 @@
     ControlWatch(boost::asio::io_context &io, ControlWatchSettings settings, OnChange onChange);
 
     void start();
+    /// Closes all connections and asks nobody any more.
+    void stop();
     /// Sets what the next calls say about this entry.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     void setHeardHolders(std::vector<std::string> names) { m_heardHolders = std::move(names); }
     void addSeeds(const std::vector<std::string> &addresses);
+    /// Addresses that are watched.
+    [[nodiscard]] std::size_t sourceCount() const { return m_sources.size(); }
 
     [[nodiscard]] const FleetBelief &belief() const { return m_belief; }
 
@@ -66,6 +72,7 @@
         std::uint64_t revision = 0;
         bool isLeader = false;
         bool isConnected = true;
+        Milliseconds namedAt; ///< When the settings or a member last named it.
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
@@ -73,13 +80,18 @@
     void onResult(const std::string &address, const RpcResult &result);
     void onUpdate(Source &source, FleetUpdate update);
     void retryLater(const std::string &address);
+    /// Whether an address that does not answer has been replaced.
+    [[nodiscard]] bool isReplaced(const Source &source) const;
 
     boost::asio::io_context &m_io;
     ControlWatchSettings m_settings;
     OnChange m_onChange;
+    SteadyClock m_clock;
+    Milliseconds m_updatedAt{-1e18}; ///< When a member last answered.
     std::map<std::string, Source> m_sources;
     FleetBelief m_belief;
     bool m_isLeaving = false;
+    bool m_isStopped = false;
     std::vector<std::string> m_heardHolders;
     std::uint32_t m_instances = 0; ///< Of the own domain.
 };
--- a/src/DigestSocket.cpp
+++ b/src/DigestSocket.cpp
@@ -92,7 +92,7 @@
         auto bytes = encodeMessage(DigestDatagram{WireVersion, m_cluster, digest});
         if (bytes.size() > MaxDatagramBytes) {
             // Liveness and draining matter more than the load, which peers then do not see.
-            Log::warning("digest-too-large").kv("bytes", bytes.size());
+            Log::warning(LogEvent::DigestTooLarge).kv("bytes", bytes.size());
             auto small = digest;
             small.pools.clear();
             bytes = encodeMessage(DigestDatagram{WireVersion, m_cluster, small});
--- a/src/DrainController.cpp
+++ b/src/DrainController.cpp
@@ -37,10 +37,10 @@
     {
         if (m_hasBegun.exchange(true))
             return;
-        Log::info("drain-begins");
+        Log::info(LogEvent::DrainBegins);
         m_steps.failReadiness();
         wait(m_settings.readiness, [this] {
-            Log::info("drain-stops-intake");
+            Log::info(LogEvent::DrainStopsIntake);
             m_steps.stopIntake();
             m_limit = m_clock.now() + m_settings.limit;
             pollIdle();
@@ -67,7 +67,7 @@
             return;
         }
         if (now >= m_limit && !m_isAbandoned) {
-            Log::warning("drain-over-limit").kv("limitMs", m_settings.limit.count());
+            Log::warning(LogEvent::DrainOverLimit).kv("limitMs", m_settings.limit.count());
             m_isAbandoned = true;
             m_steps.abandon();
         }
@@ -87,7 +87,7 @@
     {
         m_steps.closeConnections();
         if (m_steps.isClosed() || m_clock.now() >= m_limit) {
-            Log::info("drain-ends");
+            Log::info(LogEvent::DrainEnds);
             m_steps.exit();
             return;
         }
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -105,7 +105,7 @@
     Status start()
     {
         if (const auto status = m_declaration.restore(); !status)
-            Log::error("declaration-not-restored").kv("error", status.error().message);
+            Log::error(LogEvent::DeclarationNotRestored).kv("error", status.error().message);
         if (const auto status = startSource(); !status)
             return status;
         if (const auto status = startPeers(); !status)
@@ -118,7 +118,7 @@
         tick();
         sendDigests();
         m_drain = makeDrain();
-        Log::info("entry-started")
+        Log::info(LogEvent::EntryStarted)
             .kv("instance", m_settings.instance)
             .kv("incarnation", m_incarnation)
             .kv("domain", m_settings.domain)
@@ -157,7 +157,7 @@
         auto source = FileDeclarationSource::make(m_settings.declarationFile);
         if (!source)
             return source.error();
-        Log::warning("no-control-group")
+        Log::warning(LogEvent::NoControlGroup)
             .kv("declaration", m_settings.declarationFile)
             .kv("ledger", "memory")
             .kv("effect",
@@ -259,7 +259,7 @@
     {
         for (const auto &event : events) {
             const bool isRestart = event.kind == MembershipEvent::Kind::Restarted;
-            Log::info("peer-changed")
+            Log::info(LogEvent::PeerChanged)
                 .kv("peer", event.instance)
                 .kv("state", isRestart ? "restarted" : peerStateName(event.state))
                 .kv("incarnation", event.incarnation);
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -4,6 +4,7 @@
 #include "Log.h"
 #include "RpcDecode.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
 #include <fcntl.h>
@@ -29,6 +30,10 @@
 /// A member that hears no leader for this long asks whether it was removed.
 constexpr Milliseconds LeaderlessTime{2'000};
 constexpr std::size_t MaxWatchers = 512;
+/// A candidate that did not ask again for this long has ended or was replaced.
+constexpr Milliseconds CandidateTime{30'000};
+/// An address that no member names for this long, while members answer, was replaced.
+constexpr Milliseconds HeardOfTime{60'000};
 /// Pause before a disk that failed is tried again.
 constexpr Milliseconds ReopenPause{500};
 constexpr const char *NameFile = "member-name";
@@ -55,14 +60,6 @@
     return okStatus();
 }
 
-template <typename T>
-void receiveRaft(ControlNode &node, const std::string &from, const std::string &payload,
-                 const RpcReply &reply)
-{
-    if (auto message = decodeOrRefuse<T>(payload, reply))
-        node.receive(from, std::move(*message), reply);
-}
-
 } // namespace
 
 FleetControl::FleetControl(Asio::io_context &io, FleetControlSettings settings)
@@ -72,6 +69,7 @@
     , m_reopenTimer(io)
     , m_directory(m_settings.instanceSilence)
     , m_epoch(randomNumber())
+    , m_seeds(m_settings.seeds)
 {
 }
 
@@ -135,7 +133,7 @@
             return reopened.error();
         storage = std::move(reopened).value();
     }
-    Log::info("member-starts")
+    Log::info(LogEvent::MemberStarts)
         .kv("member", m_name)
         .kv("isNew", isNew)
         .kv("isFirstStart", m_settings.isFirstStart)
@@ -175,7 +173,7 @@
     RpcSettings settings = m_rpcSettings;
     settings.maxConnections = 1'024;
     auto rpc = RpcServer::make(
-        m_io, m_settings.listen, m_rpcSettings,
+        m_io, m_settings.listen, settings,
         [self = shared_from_this()](const Hello &peer, MessageKind kind, const std::string &payload,
                                     const RpcReply &reply) {
             Asio::post(self->m_node->strand(), [=] { self->onRpc(peer, kind, payload, reply); });
@@ -192,6 +190,13 @@
     return {m_name, m_settings.listen.toString(), m_settings.operatorAddress.toString(), false};
 }
 
+void FleetControl::replaceSeeds(std::vector<Address> seeds)
+{
+    Asio::dispatch(m_node->strand(), [self = shared_from_this(), seeds = std::move(seeds)] {
+        self->m_seeds = seeds;
+    });
+}
+
 // --- Instances
 
 void FleetControl::reportInstance(const InstanceReport &report)
@@ -199,7 +204,7 @@
     m_metrics.countReport(true);
     if (!m_directory.report(report, m_clock.now()))
         return;
-    Log::info("instance-changed")
+    Log::info(LogEvent::InstanceChanged)
         .kv("instance", report.key.id)
         .kv("born", report.key.bornMs)
         .kv("sequence", report.sequence)
@@ -213,7 +218,7 @@
 {
     if (!m_directory.leave(id, bornMs, m_clock.now()))
         return;
-    Log::info("instance-left").kv("instance", id).kv("revision", m_directory.revision());
+    Log::info(LogEvent::InstanceLeft).kv("instance", id).kv("revision", m_directory.revision());
     answerWatchers(false);
 }
 
@@ -237,14 +242,9 @@
 void FleetControl::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
                          const RpcReply &reply)
 {
+    if (m_node->onMemberCall(peer.instance, kind, payload, reply))
+        return;
     switch (kind) {
-    case MessageKind::PreVote:
-    case MessageKind::Vote:
-        return receiveRaft<RaftVoteRequest>(*m_node, peer.instance, payload, reply);
-    case MessageKind::AppendEntries:
-        return receiveRaft<RaftAppendRequest>(*m_node, peer.instance, payload, reply);
-    case MessageKind::InstallSnapshot:
-        return receiveRaft<RaftSnapshotRequest>(*m_node, peer.instance, payload, reply);
     case MessageKind::WatchFleet:
         return onWatch(payload, reply);
     case MessageKind::JoinGroup:
@@ -253,8 +253,6 @@
         return onStore(payload, reply);
     case MessageKind::ReadDocument:
         return onRead(reply);
-    case MessageKind::ControlStatus:
-        return reply(m_node->statusJson());
     default:
         return reply(Error{ErrorCode::InvalidRequest, "a control instance has no such call"});
     }
@@ -274,7 +272,9 @@
         return;
     }
     if (contact.entry != entry)
-        Log::info("entry-heard").kv("entry", entry.name).kv("incarnation", entry.incarnation);
+        Log::info(LogEvent::EntryHeard)
+            .kv("entry", entry.name)
+            .kv("incarnation", entry.incarnation);
     contact = {entry, now, request->heardHolders, request->isLeaving, request->instances};
     if (hasNews(*request) || m_watchers.size() >= MaxWatchers) {
         reply(encodeMessage(makeUpdate(*request)));
@@ -326,10 +326,11 @@
 
 std::vector<std::string> FleetControl::controlAddresses() const
 {
-    std::set<std::string> addresses = m_otherControls;
+    std::set<std::string> addresses{m_settings.listen.toString()};
     for (const auto &member : m_node->group().members)
         addresses.insert(member.address);
-    addresses.insert(m_settings.listen.toString());
+    for (const auto &[name, candidate] : m_candidates)
+        addresses.insert(candidate.member.address);
     return {addresses.begin(), addresses.end()};
 }
 
@@ -342,7 +343,6 @@
         return;
     const auto &member = request->member;
     const auto &group = m_node->group();
-    m_otherControls.insert(member.address);
     if (group.find(member.instance) == nullptr)
         m_candidates[member.instance] = {member, m_clock.now()};
     JoinGroupReply answer;
@@ -367,8 +367,10 @@
     if ((isMember && hearsLeader) || now < m_nextJoinAt)
         return;
     m_nextJoinAt = now + JoinPeriod;
-    std::set<std::string> addresses = m_otherControls;
-    for (const auto &seed : m_settings.seeds)
+    std::set<std::string> addresses;
+    for (const auto &[address, namedAt] : m_heardOf)
+        addresses.insert(address);
+    for (const auto &seed : m_seeds)
         addresses.insert(Address{seed.host, m_settings.listen.port}.toString());
     for (const auto &member : group.members)
         addresses.insert(member.address);
@@ -380,7 +382,7 @@
 {
     const auto parsed = Address::parse(address);
     if (!parsed) {
-        Log::warning("address-unreadable").kv("address", address);
+        Log::warning(LogEvent::AddressUnreadable).kv("address", address);
         return;
     }
     auto &known = m_joinClients[address];
@@ -406,10 +408,10 @@
 
 void FleetControl::onJoinReply(const JoinGroupReply &reply)
 {
-    for (const auto &address : reply.controlAddresses) {
-        if (address != m_settings.listen.toString())
-            m_otherControls.insert(address);
-    }
+    const auto now = m_clock.now();
+    for (const auto &address : reply.controlAddresses)
+        m_heardOf[address] = now;
+    std::erase_if(m_heardOf, [&](const auto &it) { return now - it.second > HeardOfTime; });
     if (!reply.isRemoved || reply.member != m_name)
         return;
     startAnew();
@@ -417,7 +419,7 @@
 
 void FleetControl::startAnew()
 {
-    Log::warning("member-removed").kv("member", m_name).kv("action", "start-anew");
+    Log::warning(LogEvent::MemberRemoved).kv("member", m_name).kv("action", "start-anew");
     m_node->stop();
     // The group goes on without this name for good, so nothing stored under it matters any more.
     std::error_code ec;
@@ -430,7 +432,7 @@
 
 void FleetControl::reopenLater(const Error &reason)
 {
-    Log::error("disk-failed").kv("member", m_name).kv("reason", reason.message);
+    Log::error(LogEvent::DiskFailed).kv("member", m_name).kv("reason", reason.message);
     m_reopenTimer.expires_after(toChrono(ReopenPause));
     m_reopenTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
         if (ec)
@@ -460,7 +462,10 @@
 void FleetControl::tick()
 {
     if (m_directory.expire(m_clock.now()))
-        Log::info("instances-silent").kv("revision", m_directory.revision());
+        Log::info(LogEvent::InstancesSilent).kv("revision", m_directory.revision());
+    std::erase_if(m_candidates, [now = m_clock.now()](const auto &it) {
+        return now - it.second.heardAt > CandidateTime;
+    });
     joinGroup();
     leadGroup();
     answerWatchers(false);
@@ -486,7 +491,7 @@
         const bool isAdd = step.kind == MembershipStep::Kind::Add;
         const auto status =
             isAdd ? m_node->addMember(step.member) : m_node->removeMember(step.member.instance);
-        Log::info("membership-change")
+        Log::info(LogEvent::MembershipChange)
             .kv("step", isAdd ? "add" : "remove")
             .kv("member", step.member.instance)
             .kv("reason", step.reason)
@@ -499,7 +504,7 @@
     if (!grant)
         return;
     m_isGrantInFlight = true;
-    Log::info("cell-grant")
+    Log::info(LogEvent::CellGrant)
         .kv("cell", grant->next.name())
         .kv("cellCount", grant->next.cellCount)
         .kv("holder", grant->next.holder)
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -25,7 +25,8 @@
     std::string cluster;
     Address listen; ///< RPC.
     Address operatorAddress; ///< Where operators and instances call this process.
-    std::vector<Address> seeds; ///< Operator addresses of control instances, own ones among them.
+    /// Operator addresses of control instances. At the first start these are the founders.
+    std::vector<Address> seeds;
     bool isFirstStart = false; ///< The whole system starts for the first time, with empty disks.
     std::string dataFolder;
     std::vector<std::string> domains; ///< All failure domains.
@@ -53,6 +54,8 @@
     void storeDocument(std::uint64_t version, std::string text, OperatorCallback callback);
     /// Reads the newest configuration, confirmed by a majority.
     void readDocument(OperatorCallback callback);
+    /// Takes other addresses at which to ask for the group. The founders stay who they were.
+    void replaceSeeds(std::vector<Address> seeds);
     void reportInstance(const InstanceReport &report);
     void instanceLeft(const std::string &id, std::uint64_t bornMs);
     /// Counts a report that could not be read.
@@ -92,6 +95,7 @@
     void joinGroup();
     void askToJoin(const std::string &address);
     void onJoinReply(const JoinGroupReply &reply);
+    /// RPC addresses of the members and of candidates that were heard from directly.
     [[nodiscard]] std::vector<std::string> controlAddresses() const;
     [[nodiscard]] RaftMember self() const;
     void onStore(const std::string &payload, const RpcReply &reply);
@@ -115,9 +119,12 @@
     std::uint64_t m_epoch = 0; ///< Of m_directory: differs for each process.
     std::list<Watcher> m_watchers;
 
+    std::vector<Address> m_seeds; ///< As the settings name them now.
     std::map<std::string, EntryContact> m_entries;
     std::map<std::string, MemberCandidate> m_candidates;
-    std::set<std::string> m_otherControls; ///< RPC addresses that were heard of.
+    /// RPC addresses that another member named, with when. They are only asked, and never passed
+    /// on, or the address of a replaced machine would go round for ever.
+    std::map<std::string, Milliseconds> m_heardOf;
     std::map<std::string, std::shared_ptr<RpcClient>> m_joinClients;
     std::shared_ptr<RpcClient> m_leaderClient; ///< For operators' calls.
     Milliseconds m_leaderSince{-1};
--- a/src/FleetControlOperator.cpp
+++ b/src/FleetControlOperator.cpp
@@ -29,22 +29,23 @@
     }
     if (!m_leaderClient || m_leaderClient->address() != address->value())
         m_leaderClient = RpcClient::make(m_io, address->value(), m_rpcSettings);
-    m_leaderClient->call(
-        kind, std::move(payload), AskLeaderTimeout,
-        [self = shared_from_this(), client = m_leaderClient,
-         callback = std::move(callback)](const RpcResult &result) {
-            Asio::post(self->m_node->strand(), [self, client, callback, result] {
-                const auto *reply = std::get_if<std::string>(&result);
-                const auto answer = decodeMessage<OperatorAnswer>(reply ? *reply : std::string());
-                if (!answer) {
-                    Log::warning("leader-unanswered").kv("address", client->address().toString());
-                    client->stop();
-                    if (self->m_leaderClient == client)
-                        self->m_leaderClient.reset();
-                }
-                callback(answer ? answer.value() : OperatorAnswer{});
-            });
-        });
+    m_leaderClient->call(kind, std::move(payload), AskLeaderTimeout,
+                         [self = shared_from_this(), client = m_leaderClient,
+                          callback = std::move(callback)](const RpcResult &result) {
+                             Asio::post(self->m_node->strand(), [self, client, callback, result] {
+                                 const auto *reply = std::get_if<std::string>(&result);
+                                 const auto answer =
+                                     decodeMessage<OperatorAnswer>(reply ? *reply : std::string());
+                                 if (!answer) {
+                                     Log::warning(LogEvent::LeaderUnanswered)
+                                         .kv("address", client->address().toString());
+                                     client->stop();
+                                     if (self->m_leaderClient == client)
+                                         self->m_leaderClient.reset();
+                                 }
+                                 callback(answer ? answer.value() : OperatorAnswer{});
+                             });
+                         });
 }
 
 void FleetControl::storeAsLeader(StoreDocumentRequest request, OperatorCallback callback)
@@ -57,7 +58,7 @@
                             reply ? std::get_if<StoreDocumentReply>(&*reply) : nullptr;
                         self->m_metrics.countStore(stored != nullptr ? "accepted" : "unknown",
                                                    self->m_clock.now() - since);
-                        Log::info("configuration-stored")
+                        Log::info(LogEvent::ConfigurationStored)
                             .kv("version", version)
                             .kv("result", stored != nullptr ? "accepted" : "unknown")
                             .kv("inForce", stored != nullptr ? stored->currentVersion : 0);
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -27,23 +27,23 @@
     return {JobVerdict::NotRun, reason, retryAfterMs};
 }
 
-const char *eventName(ScheduleEvent::Kind kind)
+LogEvent eventOf(ScheduleEvent::Kind kind)
 {
     switch (kind) {
     case ScheduleEvent::Kind::Started:
-        return "run-started";
+        return LogEvent::RunStarted;
     case ScheduleEvent::Kind::Ended:
-        return "run-ended";
+        return LogEvent::RunEnded;
     case ScheduleEvent::Kind::Blamed:
-        return "instance-blamed";
+        return LogEvent::InstanceBlamed;
     case ScheduleEvent::Kind::Refused:
-        return "job-dropped";
+        return LogEvent::JobDropped;
     case ScheduleEvent::Kind::Joined:
-        return "job-joined";
+        return LogEvent::JobJoined;
     case ScheduleEvent::Kind::Stalled:
-        return "stalled";
+        return LogEvent::Stalled;
     }
-    return "run-ended";
+    return LogEvent::RunEnded;
 }
 
 } // namespace
@@ -112,11 +112,11 @@
             m_configuration =
                 std::make_shared<const FleetConfiguration>(std::move(configuration).value());
             m_scheduler.configure(m_configuration);
-            Log::info("configuration-in-force")
+            Log::info(LogEvent::ConfigurationInForce)
                 .kv("version", m_configuration->version)
                 .kv("queues", m_configuration->queues.size());
         } else {
-            Log::error("configuration-unreadable")
+            Log::error(LogEvent::ConfigurationUnreadable)
                 .kv("version", belief.documentVersion)
                 .kv("reason", configuration.error().message);
         }
@@ -170,14 +170,14 @@
 void FleetEntry::submit(const FleetJob &job, OutcomeCallback callback)
 {
     if (m_isIntakeStopped) {
-        Log::decision("job-answered").kv("request", job.id).kv("reason", "shutting-down");
+        Log::decision(LogEvent::JobAnswered).kv("request", job.id).kv("reason", "shutting-down");
         callback(notRun("shutting-down", NoHolderRetryMs));
         return;
     }
     auto &waiting = m_waiting[job.id];
     waiting.callbacks.push_back(std::move(callback));
     if (waiting.callbacks.size() > 1) {
-        Log::decision("job-joined").kv("request", job.id);
+        Log::decision(LogEvent::JobJoined).kv("request", job.id);
         return;
     }
     waiting.job = job;
@@ -228,7 +228,7 @@
     waiting.tried.push_back(grant->address);
     const bool isLocal = isOwn(*grant);
     waiting.address = isLocal ? std::string() : grant->address;
-    Log::decision("job-routed")
+    Log::decision(LogEvent::JobRouted)
         .kv("request", jobId)
         .kv("queue", waiting.job.queue)
         .kv("cell", grant->name())
@@ -270,7 +270,7 @@
     if (node.empty())
         return;
     const auto &waiting = node.mapped();
-    Log::decision("job-answered")
+    Log::decision(LogEvent::JobAnswered)
         .kv("request", jobId)
         .kv("queue", waiting.job.queue)
         .kv("verdict", jobVerdictName(outcome.verdict))
@@ -287,7 +287,7 @@
     if (node.empty())
         return;
     const auto &waiting = node.mapped();
-    Log::decision("job-abandoned")
+    Log::decision(LogEvent::JobAbandoned)
         .kv("request", jobId)
         .kv("ms", (m_clock.now() - waiting.submittedAt).count());
     if (!waiting.address.empty()) {
@@ -330,7 +330,7 @@
 {
     const auto request = decodeMessage<SubmitJobRequest>(payload);
     if (!request) {
-        Log::warning("message-unreadable").kv("from", requester);
+        Log::warning(LogEvent::MessageUnreadable).kv("from", requester);
         reply(request.error());
         return;
     }
@@ -456,7 +456,7 @@
         offerNext(jobId);
         return;
     }
-    Log::decision("job-offered").kv("request", jobId).kv("address", offered->second.address);
+    Log::decision(LogEvent::JobOffered).kv("request", jobId).kv("address", offered->second.address);
     m_offered.erase(offered);
     m_scheduler.handOver(
         jobId, outcome != nullptr ? *outcome : JobOutcome{JobVerdict::Unknown, "holder-lost", 0});
@@ -470,7 +470,7 @@
             m_metrics.countStart(Milliseconds{event.value});
         if (event.end)
             m_metrics.countRunEnd(*event.end);
-        Log::decision(eventName(event.kind))
+        Log::decision(eventOf(event.kind))
             .kv("request", event.jobId)
             .kv("task", event.run.task)
             .kv("run", event.run.run)
--- a/src/HolderLink.cpp
+++ b/src/HolderLink.cpp
@@ -57,7 +57,7 @@
                         callback(outcome.value());
                         return;
                     }
-                    Log::warning("message-unreadable").kv("address", address);
+                    Log::warning(LogEvent::MessageUnreadable).kv("address", address);
                     callback(HandOverFailure::Unknown);
                 });
         });
@@ -98,7 +98,7 @@
     auto &peer = m_peers[address];
     if (!peer.client)
         return;
-    Log::warning("holder-lost")
+    Log::warning(LogEvent::HolderLost)
         .kv("address", address)
         .kv("reason", reason)
         .kv("outstanding", peer.outstanding);
@@ -136,7 +136,7 @@
     if (isAnswer) {
         peer.heardAt = now;
         if (std::exchange(peer.avoidUntil, now) > now)
-            Log::info("holder-regained").kv("address", address);
+            Log::info(LogEvent::HolderRegained).kv("address", address);
     } else if (peer.avoidUntil > now) {
         std::exchange(peer.client, nullptr)->stop();
     } else if (now - peer.heardAt > m_settings.silence) {
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -58,7 +58,7 @@
     }};
     const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
     if (::setsockopt(listeningSocket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
-        Log::warning("listen-filter-failed").kv("errno", errno);
+        Log::warning(LogEvent::ListenFilterFailed).kv("errno", errno);
 }
 
 class Session;
@@ -429,7 +429,7 @@
             return;
         if (ec) {
             // Out of file descriptors is the usual cause, so trying again at once would spin.
-            Log::warning("accept-failed").kv("error", ec.message());
+            Log::warning(LogEvent::AcceptFailed).kv("error", ec.message());
             m_retryTimer.expires_after(AcceptRetry);
             m_retryTimer.async_wait([self = shared_from_this()](ErrorCodeAsio) {
                 if (self->m_acceptor.is_open())
@@ -445,7 +445,7 @@
             m_state->sessions.add(session);
             session->start();
         } else {
-            Log::warning("connection-refused").kv("reason", "too-many-connections");
+            Log::warning(LogEvent::ConnectionRefused).kv("reason", "too-many-connections");
         }
         accept();
     }
--- a/src/InstanceDirectory.cpp
+++ b/src/InstanceDirectory.cpp
@@ -11,6 +11,9 @@
 
 /// How long a gone instance is remembered, so that reports delayed by a partition don't revive it.
 constexpr Milliseconds TombstoneTime{60'000};
+/// The same in an entry's view. Longer, because a member that was cut off passes on its last word
+/// when it is reached again.
+constexpr Milliseconds ViewTombstoneTime{5 * 60'000};
 
 auto orderOf(const InstanceReport &report)
 {
@@ -89,11 +92,12 @@
     return changes;
 }
 
-bool InstanceView::merge(const InstanceReport &report)
+bool InstanceView::merge(const InstanceReport &report, Milliseconds now)
 {
     const auto it = m_instances.find(report.key.id);
+    const bool isGone = report.state == InstanceState::Gone;
     if (it == m_instances.end()) {
-        if (report.state == InstanceState::Gone)
+        if (isGone)
             return false;
         m_instances.emplace(report.key.id, report);
         return true;
@@ -103,7 +107,24 @@
     if (!isNewer)
         return false;
     it->second = report;
+    if (isGone)
+        m_goneSince[report.key.id] = now;
+    else
+        m_goneSince.erase(report.key.id);
     return true;
 }
 
+bool InstanceView::forgetGone(Milliseconds now)
+{
+    return std::erase_if(m_goneSince,
+                         [&](const auto &it) {
+                             const auto &[id, since] = it;
+                             if (now - since <= ViewTombstoneTime)
+                                 return false;
+                             m_instances.erase(id);
+                             return true;
+                         })
+        > 0;
+}
+
 } // namespace Camphor
--- a/src/InstanceDirectory.h
+++ b/src/InstanceDirectory.h
@@ -58,7 +58,10 @@
 {
 public:
     /// Merges a report that a member passed on. @return whether the view changed.
-    bool merge(const InstanceReport &report);
+    bool merge(const InstanceReport &report, Milliseconds now);
+    /// Forgets instances that have been gone for so long that no member passes on a report from
+    /// before. @return whether the view changed.
+    bool forgetGone(Milliseconds now);
 
     [[nodiscard]] const std::map<std::string, InstanceReport> &instances() const
     {
@@ -67,6 +70,7 @@
 
 private:
     std::map<std::string, InstanceReport> m_instances;
+    std::map<std::string, Milliseconds> m_goneSince; ///< By id, for those that are gone.
 };
 
 } // namespace Camphor
--- a/src/InstanceHealth.h
+++ b/src/InstanceHealth.h
@@ -26,6 +26,13 @@
     /// How much longer than expected runs take there; 1 when nothing is known.
     [[nodiscard]] double slowdown(const std::string &instance) const;
 
+    /// Forgets every instance that is not to be kept.
+    template <typename Keep>
+    void retain(Keep keep)
+    {
+        std::erase_if(m_records, [&](const auto &it) { return !keep(it.first); });
+    }
+
 private:
     struct Record
     {
--- a/src/LedgerReplica.cpp
+++ b/src/LedgerReplica.cpp
@@ -249,7 +249,7 @@
     m_followers.clear();
     m_role = LedgerRole::Stopped;
     m_problem = problem;
-    notice("ledger-stopped", problem, true);
+    notice(LogEvent::LedgerStopped, problem, true);
 }
 
 std::vector<LedgerRecord> LedgerReplica::journalStart() const
@@ -309,7 +309,8 @@
         if (wasBackup || !isSamePrimary)
             m_isLearned = false;
     }
-    notice("ledger-set", "epoch " + std::to_string(set.epoch) + " primary " + set.primary.instance);
+    notice(LogEvent::LedgerSet,
+           "epoch " + std::to_string(set.epoch) + " primary " + set.primary.instance);
 }
 
 void LedgerReplica::becomePrimary(const ReplicaSet &set, Milliseconds now)
@@ -352,7 +353,7 @@
             follower.lastHeard = now;
         }
     }
-    notice("ledger-primary",
+    notice(LogEvent::LedgerPrimary,
            "epoch " + std::to_string(set.epoch) + " backups " + std::to_string(set.backups.size()));
 }
 
@@ -362,7 +363,7 @@
     m_followers.clear();
     m_role = LedgerRole::Outsider;
     m_isLearned = false;
-    notice("ledger-deposed", "another primary was committed", true);
+    notice(LogEvent::LedgerDeposed, "another primary was committed", true);
 }
 
 void LedgerReplica::readSet(Milliseconds now)
@@ -623,8 +624,8 @@
         follower.isGone = true;
         break;
     case ReplicateState::Diverged:
-        notice("ledger-diverged", "backup " + reply.instance + " knows more than this primary",
-               true);
+        notice(LogEvent::LedgerDiverged,
+               "backup " + reply.instance + " knows more than this primary", true);
         break;
     }
 }
@@ -749,7 +750,7 @@
     m_isCatchingUp = false;
     m_lastContact = now;
     sendCatchup(reply.nextCursor, true, now);
-    notice("ledger-caught-up", "claims " + std::to_string(m_log.state().size()));
+    notice(LogEvent::LedgerCaughtUp, "claims " + std::to_string(m_log.state().size()));
 }
 
 // Messages of the primary.
@@ -866,9 +867,9 @@
     return reply;
 }
 
-void LedgerReplica::notice(std::string event, std::string detail, bool isWarning)
+void LedgerReplica::notice(LogEvent event, std::string detail, bool isWarning)
 {
-    m_actions.emplace_back(Notice{std::move(event), std::move(detail), isWarning});
+    m_actions.emplace_back(Notice{event, std::move(detail), isWarning});
 }
 
 } // namespace Camphor
--- a/src/LedgerReplica.h
+++ b/src/LedgerReplica.h
@@ -10,6 +10,7 @@
 
 #include "LedgerLog.h"
 #include "LedgerMessages.h"
+#include "LogEvents.h"
 #include "ReplicaSetStore.h"
 #include "Time.h"
 
@@ -109,7 +110,7 @@
 /// Something for the log.
 struct Notice
 {
-    std::string event;
+    LogEvent event = LogEvent::LedgerSet;
     std::string detail;
     bool isWarning = false;
 };
@@ -240,7 +241,7 @@
 
     [[nodiscard]] ReplicateState checkRequest(const ReplicateRequest &request) const;
     void installEntries(const ReplicateRequest &request, ReplicateReply &reply);
-    void notice(std::string event, std::string detail, bool isWarning = false);
+    void notice(LogEvent event, std::string detail, bool isWarning = false);
 
     LedgerReplicaSettings m_settings;
     LedgerLog m_log;
--- a/src/LedgerServer.cpp
+++ b/src/LedgerServer.cpp
@@ -123,7 +123,7 @@
         replica.hasDisk = m_folder != nullptr;
         replica.timing = m_settings.timing;
         replica.retention = m_settings.retention;
-        Log::info("ledger-recovered")
+        Log::info(LogEvent::LedgerRecovered)
             .kv("claims", log.state().size())
             .kv("last", log.last())
             .kv("epoch", log.promisedEpoch())
@@ -146,7 +146,7 @@
     void drain(Milliseconds limit, std::function<void()> onDone) override
     {
         Asio::post(m_strand, [self = shared_from_this(), limit, onDone = std::move(onDone)] {
-            Log::info("ledger-draining").kv("waiting", self->m_calls.size());
+            Log::info(LogEvent::LedgerDraining).kv("waiting", self->m_calls.size());
             self->m_drainEnd = self->m_clock.now() + limit;
             self->m_onDrained = onDone;
         });
@@ -203,7 +203,7 @@
     void refuse(const Hello &peer, const RpcReply &reply, const std::string &reason)
     {
         ++m_refusedMessages;
-        Log::warning("ledger-message-refused").kv("peer", peer.instance).kv("reason", reason);
+        Log::warning(LogEvent::LedgerMessageRefused).kv("peer", peer.instance).kv("reason", reason);
         reply(Error{ErrorCode::InvalidMessage, reason});
     }
 
@@ -353,7 +353,7 @@
     void carryOut(LedgerActions::ChangeSet &action)
     {
         const auto next = action.next;
-        Log::info("ledger-change-set")
+        Log::info(LogEvent::LedgerChangeSet)
             .kv("expected", action.expectedEpoch)
             .kv("primary", next.primary.instance)
             .kv("backups", next.backups.size());
@@ -438,7 +438,7 @@
 
     void failDisk(const Error &error)
     {
-        Log::error("ledger-disk-failed").kv("error", error.message);
+        Log::error(LogEvent::LedgerDiskFailed).kv("error", error.message);
         m_queued.clear();
         // It stays set, so that nothing is written any more.
         m_isWriting = true;
@@ -555,7 +555,7 @@
                 }
                 m_isSnapshotting = false;
                 m_snapshot = nullptr;
-                Log::info("ledger-snapshot").kv("journal", m_journal->number());
+                Log::info(LogEvent::LedgerSnapshot).kv("journal", m_journal->number());
             });
         });
     }
@@ -563,7 +563,7 @@
     /// The journals go on to hold everything; the next threshold tries again.
     void giveUpSnapshot(const Error &error)
     {
-        Log::warning("ledger-snapshot-failed").kv("error", error.message);
+        Log::warning(LogEvent::LedgerSnapshotFailed).kv("error", error.message);
         m_snapshot = nullptr;
         m_isSnapshotting = false;
     }
@@ -595,7 +595,7 @@
         for (const auto &[call, reply] : std::exchange(m_calls, {}))
             reply(Error{ErrorCode::Unavailable, "the ledger stops"});
         const auto onDrained = std::exchange(m_onDrained, nullptr);
-        Log::info("ledger-drained");
+        Log::info(LogEvent::LedgerDrained);
         onDrained();
     }
 
--- a/src/LoadRunner.cpp
+++ b/src/LoadRunner.cpp
@@ -135,7 +135,7 @@
         const auto before = readMetrics();
         m_start = std::chrono::steady_clock::now() + toChrono(StartDelay);
         m_observation.startWallMs = wallClockMs() + StartDelay.count();
-        Log::info("run-started").kv("requests", m_plan.size());
+        Log::info(LogEvent::LoadStarted).kv("requests", m_plan.size());
         schedulePhases();
         scheduleNext();
         m_io.run();
@@ -294,7 +294,7 @@
         Milliseconds start;
         for (const auto &phase : m_scenario.phases) {
             // tools/cluster waits for this line to inject faults in a phase.
-            at(start, [&phase] { Log::info("phase-started").kv("phase", phase.name); });
+            at(start, [&phase] { Log::info(LogEvent::PhaseStarted).kv("phase", phase.name); });
             if (phase.cancel) {
                 at(start + phase.cancel->at,
                    [this, share = phase.cancel->share] { cancelOpenJobs(share); });
@@ -331,7 +331,7 @@
                            [](const HttpResult &) { });
             ++sent;
         }
-        Log::info("jobs-cancelled").kv("count", sent);
+        Log::info(LogEvent::JobsCancelled).kv("count", sent);
     }
 
     const Scenario &m_scenario;
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -119,13 +119,13 @@
     return log.budgetUsed++ < log.settings.decisionsPerSecond;
 }
 
-bool isEnabled(LogLevel level, std::string_view event)
+bool isEnabled(LogLevel level, LogEvent event)
 {
     if (!state().started.load(std::memory_order_acquire) || level < state().settings.minimum)
         return false;
     if (level != LogLevel::Decision || takeDecisionBudget())
         return true;
-    state().buffer->omit(event);
+    state().buffer->omit(logEventName(event));
     return false;
 }
 
@@ -173,14 +173,14 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-std::string makeLine(bool json, LogLevel level, std::string_view event, const LogFields &fields)
+std::string makeLine(bool json, LogLevel level, LogEvent event, const LogFields &fields)
 {
     std::array<char, 32> time{};
     std::snprintf(time.data(), time.size(), "%.3f", wallClockMs() / 1000.0);
     std::string line;
     appendField(line, json, "time", time.data());
     appendField(line, json, "level", levelName(level));
-    appendField(line, json, "event", event);
+    appendField(line, json, "event", logEventName(event));
     for (const auto &[key, value] : fields)
         appendField(line, json, key, value);
     if (json)
@@ -212,7 +212,7 @@
     log.buffer = std::make_shared<LogBuffer>(
         LogBufferSettings{}, [fd](std::string_view bytes) { return writeAll(fd, bytes); },
         [json = settings.json](const std::string &event, std::uint64_t count) {
-            return makeLine(json, LogLevel::Warning, "lines-left-out",
+            return makeLine(json, LogLevel::Warning, LogEvent::LinesLeftOut,
                             {{"of", event}, {"count", std::to_string(count)}});
         });
     log.sink = boost::make_shared<Sink>(boost::make_shared<BufferBackend>(log.buffer));
@@ -236,7 +236,7 @@
     return buffer ? buffer->omitted() : 0;
 }
 
-LogLine::LogLine(LogLevel level, std::string_view event)
+LogLine::LogLine(LogLevel level, LogEvent event)
     : m_level(level)
     , m_enabled(isEnabled(level, event))
     , m_event(event)
@@ -262,7 +262,7 @@
     if (!m_enabled)
         return;
     thread_local boost::log::sources::logger logger;
-    BOOST_LOG(logger) << boost::log::add_value("Event", m_event)
+    BOOST_LOG(logger) << boost::log::add_value("Event", std::string(logEventName(m_event)))
                       << boost::log::add_value("Level", static_cast<int>(m_level))
                       << makeLine(state().settings.json, m_level, m_event, m_fields);
 }
--- a/src/Log.h
+++ b/src/Log.h
@@ -1,6 +1,8 @@
 /// @file Structured log lines over Boost.Log, one line an event, as key=value pairs or as JSON.
 #pragma once
 
+#include "LogEvents.h"
+
 #include <cstdint>
 #include <sstream>
 #include <string>
@@ -43,7 +45,7 @@
 class LogLine
 {
 public:
-    LogLine(LogLevel level, std::string_view event);
+    LogLine(LogLevel level, LogEvent event);
     ~LogLine();
     LogLine(const LogLine &) = delete;
     LogLine &operator=(const LogLine &) = delete;
@@ -65,17 +67,17 @@
 private:
     LogLevel m_level;
     bool m_enabled;
-    std::string m_event;
+    LogEvent m_event;
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
 namespace Log {
-inline LogLine debug(std::string_view event) { return {LogLevel::Debug, event}; }
+inline LogLine debug(LogEvent event) { return {LogLevel::Debug, event}; }
 /// A line for one routing or placement decision.
-inline LogLine decision(std::string_view event) { return {LogLevel::Decision, event}; }
-inline LogLine info(std::string_view event) { return {LogLevel::Info, event}; }
-inline LogLine warning(std::string_view event) { return {LogLevel::Warning, event}; }
-inline LogLine error(std::string_view event) { return {LogLevel::Error, event}; }
+inline LogLine decision(LogEvent event) { return {LogLevel::Decision, event}; }
+inline LogLine info(LogEvent event) { return {LogLevel::Info, event}; }
+inline LogLine warning(LogEvent event) { return {LogLevel::Warning, event}; }
+inline LogLine error(LogEvent event) { return {LogLevel::Error, event}; }
 } // namespace Log
 
 } // namespace Camphor
--- a/src/PeerService.cpp
+++ b/src/PeerService.cpp
@@ -140,7 +140,7 @@
         m_clock.now() + (isValidTime ? Milliseconds{message.timeLeftMs} : Milliseconds{});
     const auto verdict = admit(peer, attempt, deadline);
     if (verdict != AttemptFence::Verdict::Accepted) {
-        Log::warning("placement-refused")
+        Log::warning(LogEvent::PlacementRefused)
             .kv("attempt", attempt)
             .kv("peer", peer.instance)
             .kv("reason", fenceReason(verdict));
--- a/src/PoolShard.cpp
+++ b/src/PoolShard.cpp
@@ -86,7 +86,7 @@
     effects.emplace_back([this, call = std::move(call), requestId = task.spec.requestId,
                           handle = action.handle, attempt = action.attempt, target = action.target,
                           reason = action.reason] {
-        Log::decision("attempt-started")
+        Log::decision(LogEvent::AttemptStarted)
             .kv("request", requestId)
             .kv("attempt", call.attempt)
             .kv("target", target)
@@ -110,7 +110,7 @@
     auto message = makePlaceTask(live.task, action.attempt, m_services.clock.now());
     effects.emplace_back([this, message = std::move(message), handle = action.handle,
                           attempt = action.attempt, peer = action.peer, reason = action.reason] {
-        Log::decision("task-forwarded")
+        Log::decision(LogEvent::TaskForwarded)
             .kv("request", message.requestId)
             .kv("attempt", attemptId(message.requestId, message.taskIndex, attempt))
             .kv("peer", peer)
@@ -129,7 +129,7 @@
                         std::vector<Effect> &effects)
 {
     effects.emplace_back([this, action] {
-        Log::decision("pull")
+        Log::decision(LogEvent::Pull)
             .kv("peer", action.peer)
             .kv("slots", action.slots)
             .kv("reason", action.reason);
@@ -146,7 +146,7 @@
     const auto &spec = it->second.task.spec;
     effects.emplace_back(
         [this, action, name = attemptId(spec.requestId, spec.taskIndex, action.attempt)] {
-            Log::decision("attempt-stopped")
+            Log::decision(LogEvent::AttemptStopped)
                 .kv("attempt", name)
                 .kv("target", action.target)
                 .kv("peer", action.peer)
@@ -175,7 +175,7 @@
     const auto index = live.task.spec.taskIndex;
     forgetIfDone(action.handle);
     effects.emplace_back([onEnd, requestId, index, end = std::move(end)] {
-        Log::decision("task-finished")
+        Log::decision(LogEvent::TaskFinished)
             .kv("request", requestId)
             .kv("task", index)
             .kv("outcome", outcomeName(end.outcome))
@@ -190,7 +190,7 @@
 {
     m_services.metrics.countAttempt(result.end);
     if (result.end != AttemptEnd::Completed) {
-        Log::decision("attempt-ended")
+        Log::decision(LogEvent::AttemptEnded)
             .kv("attempt", attemptName)
             .kv("end", attemptEndName(result.end))
             .kv("reason", result.reason);
@@ -223,7 +223,7 @@
     if (!live.hasEnded)
         return;
     m_services.metrics.countLateAnswer();
-    Log::info("late-answer-dropped")
+    Log::info(LogEvent::LateAnswerDropped)
         .kv("attempt", attemptId(live.task.spec.requestId, live.task.spec.taskIndex, attempt));
     forgetIfDone(handle);
 }
--- a/src/ProcessRunner.cpp
+++ b/src/ProcessRunner.cpp
@@ -21,7 +21,7 @@
         [onStop = std::move(onStop)](const boost::system::error_code &ec, int signal) {
             if (ec)
                 return;
-            Log::info("stop-requested").kv("signal", signal);
+            Log::info(LogEvent::StopRequested).kv("signal", signal);
             onStop();
         });
     std::vector<std::jthread> workers;
--- a/src/RemoteLedger.cpp
+++ b/src/RemoteLedger.cpp
@@ -233,7 +233,7 @@
         }
         const auto progress = call->read(std::get<std::string>(result));
         if (!progress) {
-            Log::warning("ledger-reply-malformed")
+            Log::warning(LogEvent::LedgerReplyMalformed)
                 .kv("ledger", asked.toString())
                 .kv("error", progress.error().message);
             call->wasMaybeRecorded = true;
--- a/src/RpcDecode.h
+++ b/src/RpcDecode.h
@@ -16,7 +16,7 @@
 {
     auto decoded = decodeMessage<T>(payload);
     if (!decoded) {
-        Log::warning("message-unreadable").kv("reason", decoded.error().message);
+        Log::warning(LogEvent::MessageUnreadable).kv("reason", decoded.error().message);
         reply(decoded.error());
         return std::nullopt;
     }
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -117,7 +117,7 @@
 
     void refuse(const Error &reason)
     {
-        Log::warning("peer-refused").kv("remote", m_remote).kv("reason", reason.message);
+        Log::warning(LogEvent::PeerRefused).kv("remote", m_remote).kv("reason", reason.message);
         m_state->refused.fetch_add(1);
         m_stream->close(Error{ErrorCode::Unavailable, reason.message});
     }
@@ -126,7 +126,7 @@
     {
         m_timer.cancel();
         if (reason.code == ErrorCode::InvalidMessage || reason.code == ErrorCode::TooLarge) {
-            Log::warning("peer-refused").kv("remote", m_remote).kv("reason", reason.message);
+            Log::warning(LogEvent::PeerRefused).kv("remote", m_remote).kv("reason", reason.message);
             m_state->refused.fetch_add(1);
         }
         const std::lock_guard lock(m_state->mutex);
@@ -194,7 +194,7 @@
         if (!m_acceptor.is_open())
             return;
         if (ec) {
-            Log::warning("accept-failed").kv("error", ec.message());
+            Log::warning(LogEvent::AcceptFailed).kv("error", ec.message());
             m_retryTimer.expires_after(std::chrono::milliseconds(50));
             m_retryTimer.async_wait([self = shared_from_this()](ErrorCodeAsio) {
                 if (self->m_acceptor.is_open())
@@ -212,7 +212,7 @@
         {
             const std::lock_guard lock(m_state->mutex);
             if (m_state->peers.size() >= m_state->settings.maxConnections) {
-                Log::warning("peer-refused").kv("reason", "too-many-connections");
+                Log::warning(LogEvent::PeerRefused).kv("reason", "too-many-connections");
                 m_state->refused.fetch_add(1);
                 return;
             }
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -19,7 +19,8 @@
 /// Least time before a refused caller should come back.
 constexpr std::uint32_t MinRetryMs = 500;
 
-bool isHeldBy(const InstanceReport &report, const std::string &service)
+/// Whether an instance serves a service, under any holder.
+bool servesNow(const InstanceReport &report, const std::string &service)
 {
     return report.service == service && report.state != InstanceState::Gone;
 }
@@ -31,6 +32,11 @@
 void RunScheduler::configure(std::shared_ptr<const FleetConfiguration> configuration)
 {
     m_configuration = std::move(configuration);
+    // Configurations come and go by the thousand; what was learned of a removed queue goes with it.
+    std::erase_if(m_served,
+                  [&](const auto &it) { return m_configuration->find(it.first) == nullptr; });
+    m_runTimes.retain(
+        [&](const std::string &queue) { return m_configuration->find(queue) != nullptr; });
 }
 
 void RunScheduler::setInstances(const std::map<std::string, InstanceReport> &instances,
@@ -38,6 +44,7 @@
                                 Milliseconds now)
 {
     m_known = instances;
+    m_health.retain([this](const std::string &id) { return m_known.contains(id); });
     for (const auto &[id, report] : instances) {
         const auto token = heldTokens.find(id);
         if (token == heldTokens.end())
@@ -125,7 +132,7 @@
     return std::ranges::all_of(job.job.steps, [&](const JobStep &step) {
         return std::ranges::any_of(m_known, [&](const auto &it) {
             const auto &report = it.second;
-            return isHeldBy(report, job.rule.service) && step.demand.fitsInto(report.capacity)
+            return servesNow(report, job.rule.service) && step.demand.fitsInto(report.capacity)
                 && (step.requiredLabel.empty() || report.hasLabel(step.requiredLabel));
         });
     });
@@ -152,7 +159,7 @@
     }
     auto made = makeJob(job, *rule, requester, now);
     const bool isKnownService = std::ranges::any_of(
-        m_known, [&](const auto &it) { return isHeldBy(it.second, rule->service); });
+        m_known, [&](const auto &it) { return servesNow(it.second, rule->service); });
     if (!isKnownService) {
         m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance", NoInstanceRetryMs}});
         return Admission::Taken;
--- a/src/RunTimeModel.h
+++ b/src/RunTimeModel.h
@@ -17,6 +17,13 @@
     /// The expected time of a run.
     [[nodiscard]] Milliseconds expect(const std::string &queue, Milliseconds declared) const;
 
+    /// Forgets every queue that is not to be kept.
+    template <typename Keep>
+    void retain(Keep keep)
+    {
+        std::erase_if(m_records, [&](const auto &it) { return !keep(it.first); });
+    }
+
 private:
     struct Record
     {
--- a/src/SubmissionFlow.cpp
+++ b/src/SubmissionFlow.cpp
@@ -98,7 +98,7 @@
 void SubmissionFlow::submit(Submission submission, AnswerCallback callback)
 {
     if (!submission.key.empty() && !m_services.isLedgerShared) {
-        Log::decision("refused")
+        Log::decision(LogEvent::Refused)
             .kv("request", submission.requestId)
             .kv("service", submission.service)
             .kv("reason", "no-shared-ledger");
@@ -111,7 +111,7 @@
     // refusal as not run would be true.
     if (submission.key.empty()) {
         if (const auto refused = refusal(submission, deadline)) {
-            Log::decision("refused")
+            Log::decision(LogEvent::Refused)
                 .kv("request", submission.requestId)
                 .kv("service", submission.service)
                 .kv("reason", refused->reason);
@@ -143,7 +143,7 @@
 void SubmissionFlow::join(const ExecutionPtr &execution, const Submission &submission,
                           Milliseconds deadline, AnswerCallback callback)
 {
-    Log::decision("joined")
+    Log::decision(LogEvent::Joined)
         .kv("request", submission.requestId)
         .kv("execution", execution->submission.requestId)
         .kv("reason", "same-key");
@@ -296,7 +296,7 @@
     const auto &submission = execution->submission;
     // The claim took time, so the admission is decided again.
     if (const auto refused = refusal(submission, execution->deadline)) {
-        Log::decision("refused")
+        Log::decision(LogEvent::Refused)
             .kv("request", submission.requestId)
             .kv("service", submission.service)
             .kv("reason", refused->reason);
@@ -384,7 +384,7 @@
             execution->release(answer);
             if (isRecorded || attempt >= MaxRecordAttempts) {
                 if (!isRecorded)
-                    Log::warning("end-not-recorded").kv("key", execution->key);
+                    Log::warning(LogEvent::EndNotRecorded).kv("key", execution->key);
                 m_services.registry.remove(execution);
                 return;
             }
@@ -404,7 +404,7 @@
     const auto execution = m_services.registry.find(key);
     if (!execution)
         return false;
-    Log::decision("cancel-requested")
+    Log::decision(LogEvent::CancelRequested)
         .kv("request", execution->submission.requestId)
         .kv("reason", "caller");
     if (execution->requestCancel())
@@ -437,7 +437,7 @@
     }
     cancelTasks(execution);
     if (const auto answer = execution->assembler.abandon(reason)) {
-        Log::warning("execution-abandoned")
+        Log::warning(LogEvent::ExecutionAbandoned)
             .kv("request", execution->submission.requestId)
             .kv("outcome", outcomeName(answer->outcome))
             .kv("started", answer->started);
--- a/src/TargetAnnouncer.cpp
+++ b/src/TargetAnnouncer.cpp
@@ -117,7 +117,7 @@
 
     void tryNext(const Address &failed)
     {
-        Log::warning("announce-failed").kv("path", m_path).kv("entry", failed.toString());
+        Log::warning(LogEvent::AnnounceFailed).kv("path", m_path).kv("entry", failed.toString());
         m_owner = {};
         m_next = (m_next + 1) % m_entries.size();
         if (m_entries[m_next] == failed)
--- a/src/TargetDirectory.cpp
+++ b/src/TargetDirectory.cpp
@@ -51,7 +51,7 @@
         }
         const auto [it, isNew] = m_owned.insert_or_assign(announcement.id, announcement);
         if (isNew)
-            Log::info("target-owned").kv("target", announcement.id);
+            Log::info(LogEvent::TargetOwned).kv("target", announcement.id);
     }
     m_pools.targetAnnounced(announcement);
     return {m_cluster.listenAddress(self), HeartbeatPeriod};
@@ -64,7 +64,7 @@
         if (m_owned.erase(id) == 0)
             return;
     }
-    Log::info("target-left").kv("target", id);
+    Log::info(LogEvent::TargetLeft).kv("target", id);
     for (const auto &shard : m_pools.shards())
         shard->targetLeft(id);
 }
@@ -92,7 +92,7 @@
         if (m_owned.erase(id) == 0)
             return;
     }
-    Log::info("target-released").kv("target", id).kv("owner", owner);
+    Log::info(LogEvent::TargetReleased).kv("target", id).kv("owner", owner);
     OwnerHandover message{id, {}};
     for (const auto &shard : m_pools.shards())
         std::ranges::move(shard->targetReleased(id), std::back_inserter(message.running));
--- a/src/TargetServer.cpp
+++ b/src/TargetServer.cpp
@@ -178,7 +178,7 @@
     void onAccept(ErrorCodeAsio ec, Tcp::socket socket)
     {
         if (ec) {
-            Log::warning("accept-failed").kv("error", ec.message());
+            Log::warning(LogEvent::AcceptFailed).kv("error", ec.message());
             m_retryTimer.expires_after(AcceptRetry);
             m_retryTimer.async_wait([self = shared_from_this()](ErrorCodeAsio) { self->accept(); });
             return;
--- a/test/LedgerSimulation.h
+++ b/test/LedgerSimulation.h
@@ -357,7 +357,7 @@
     }
     void carryOut(std::size_t, LedgerActions::Notice &action)
     {
-        if (action.event == "ledger-diverged")
+        if (action.event == LogEvent::LedgerDiverged)
             violation("a backup knows more than its primary");
     }
     void carryOut(std::size_t, LedgerActions::AnswerClaim &action)
--- a/test/RaftSimulation.h
+++ b/test/RaftSimulation.h
@@ -137,6 +137,24 @@
         boot(member.instance);
         return member.instance;
     }
+    [[nodiscard]] bool isUp(const std::string &name) const { return isRunning(m_nodes.at(name)); }
+    [[nodiscard]] bool isRetired(const std::string &name) const
+    {
+        return m_nodes.at(name).isRetired;
+    }
+    [[nodiscard]] bool hear(const std::string &one, const std::string &other) const
+    {
+        const auto groupOf = [this](const std::string &name) {
+            const auto it = m_groups.find(name);
+            return it == m_groups.end() ? 0 : it->second;
+        };
+        return groupOf(one) == groupOf(other);
+    }
+    void pause(const std::string &name, int durationMs)
+    {
+        m_nodes.at(name).pausedUntil = m_now + durationMs;
+    }
+    void restart(const std::string &name) { boot(name); }
     RaftCore &core(const std::string &name) { return *m_nodes.at(name).core; }
     void carryOut(const std::string &name) { carryOut(name, m_nodes.at(name)); }
     [[nodiscard]] Milliseconds now() const { return Milliseconds{static_cast<double>(m_now)}; }
@@ -296,11 +314,7 @@
     void receive(const Packet &packet)
     {
         const auto it = m_nodes.find(packet.to);
-        const auto groupOf = [this](const std::string &name) {
-            const auto group = m_groups.find(name);
-            return group == m_groups.end() ? 0 : group->second;
-        };
-        if (it == m_nodes.end() || !it->second.core || groupOf(packet.from) != groupOf(packet.to))
+        if (it == m_nodes.end() || !it->second.core || !hear(packet.from, packet.to))
             return;
         if (m_now < it->second.pausedUntil) {
             // A paused process finds its messages afterwards.
--- /dev/null
+++ b/test/correctness/GroupMembershipGeneratedTest.cpp
@@ -0,0 +1,220 @@
+/// @file Generated schedules of lost disks, replaced machines, cuts, kills and freezes, over the
+/// decisions of the membership and the replicated log together.
+#include "GroupMembership.h"
+#include "RaftSimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+namespace {
+
+constexpr FaultRates LossyNetwork{0.02, 0.02, 40, 0, 0, 0, 0};
+constexpr int SupervisePeriodMs = 100;
+
+/// A group whose leader decides on members as a control instance does. Each machine has one
+/// address for good; a member whose disk was lost comes back there under another name.
+class SupervisedGroup
+{
+public:
+    SupervisedGroup(std::uint64_t seed, std::size_t voters, int spares)
+        : m_random(seed)
+        , m_sim(seed, static_cast<int>(voters), LossyNetwork)
+    {
+        m_settings.voters = voters;
+        for (const auto &name : m_sim.names())
+            m_addresses[name] = name;
+        for (int n = 0; n < spares; ++n)
+            startAt("spare-" + std::to_string(n));
+    }
+
+    void run(int durationMs)
+    {
+        for (int n = 0; n < durationMs; ++n) {
+            m_sim.step();
+            if (n % SupervisePeriodMs == 0)
+                supervise();
+            const auto leader = m_sim.leader();
+            if (n % 50 == 0 && !leader.empty())
+                (void)m_sim.proposeAt(leader);
+        }
+    }
+
+    /// Does something bad to the group, and undoes what was only for a while.
+    void disturb()
+    {
+        const auto victim = pickMember();
+        if (victim.empty())
+            return run(500);
+        const int duration = 200 + below(5'000);
+        switch (below(6)) {
+        case 0:
+            m_sim.crash(victim);
+            run(duration);
+            return restart(victim);
+        case 1:
+            m_sim.pause(victim, duration);
+            return run(duration);
+        case 2:
+            m_sim.isolate(victim);
+            run(duration);
+            return m_sim.reconnect();
+        case 3:
+            return crashAll(duration);
+        case 4:
+            return loseDisk(victim, m_addresses.at(victim), duration);
+        default:
+            return loseDisk(victim, "machine-" + std::to_string(++m_machines), duration);
+        }
+    }
+
+    /// Every voter is there, none is new, and all have what was committed.
+    [[nodiscard]] bool isWhole()
+    {
+        const auto leader = m_sim.leader();
+        if (leader.empty())
+            return false;
+        const auto &members = m_sim.core(leader).configuration().members;
+        return members.size() == m_settings.voters
+            && std::ranges::all_of(members, [&](const RaftMember &it) {
+                   return it.isVoter && m_sim.isUp(it.instance)
+                       && m_sim.core(it.instance).commitIndex() + 5
+                       >= m_sim.core(leader).commitIndex();
+               });
+    }
+
+    void awaitWhole()
+    {
+        constexpr int Patience = 60;
+        for (int n = 0; n < Patience && !isWhole(); ++n)
+            run(1'000);
+        CHECK(isWhole());
+    }
+
+    RaftSimulation &sim() { return m_sim; }
+    [[nodiscard]] int disksLost() const { return m_disksLost; }
+
+private:
+    int below(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(m_random); }
+
+    std::string pickMember()
+    {
+        const auto leader = m_sim.leader();
+        if (leader.empty())
+            return {};
+        const auto &members = m_sim.core(leader).configuration().members;
+        return members[static_cast<std::size_t>(below(static_cast<int>(members.size())))].instance;
+    }
+
+    void startAt(const std::string &address) { m_addresses[m_sim.startBlank()] = address; }
+
+    void restart(const std::string &name)
+    {
+        if (!m_sim.isRetired(name))
+            m_sim.restart(name);
+    }
+
+    void crashAll(int duration)
+    {
+        std::vector<std::string> crashed;
+        for (const auto &name : m_sim.names()) {
+            if (!m_sim.isRetired(name)) {
+                m_sim.crash(name);
+                crashed.push_back(name);
+            }
+        }
+        run(duration / 10);
+        for (const auto &name : crashed)
+            restart(name);
+    }
+
+    /// Only one disk may be lost at a time, but the next one right after the repair.
+    void loseDisk(const std::string &victim, const std::string &address, int duration)
+    {
+        awaitWhole();
+        if (m_sim.isRetired(victim))
+            return;
+        ++m_disksLost;
+        m_sim.destroy(victim);
+        m_candidates.erase(victim);
+        run(duration / 4);
+        startAt(address);
+        awaitWhole();
+    }
+
+    /// What the leader's timer does, with the candidates that it hears.
+    void supervise()
+    {
+        const auto leader = m_sim.leader();
+        if (leader.empty())
+            return;
+        auto &core = m_sim.core(leader);
+        for (const auto &name : m_sim.names()) {
+            const bool asks = !m_sim.isRetired(name) && m_sim.isUp(name) && m_sim.hear(leader, name)
+                && core.configuration().find(name) == nullptr;
+            if (!asks)
+                continue;
+            const auto &removed = core.configuration().removed;
+            if (std::ranges::find(removed, name) == removed.end()) {
+                m_candidates[name] = {memberOf(name), m_sim.now()};
+            } else {
+                // It learns that it was removed, erases its folder and asks under another name.
+                m_sim.destroy(name);
+                m_candidates.erase(name);
+                startAt(m_addresses.at(name));
+            }
+        }
+        const auto step = nextMembershipStep(
+            addressed(core.configuration()), leader, m_candidates,
+            [&](const std::string &name) { return core.lastReply(name); }, m_sim.now(), m_settings);
+        if (step.kind == MembershipStep::Kind::Add)
+            (void)core.addMember(memberOf(step.member.instance), m_sim.now());
+        else if (step.kind == MembershipStep::Kind::Remove)
+            (void)core.removeMember(step.member.instance, m_sim.now());
+        m_sim.carryOut(leader);
+    }
+
+    [[nodiscard]] RaftMember memberOf(const std::string &name) const
+    {
+        const auto &address = m_addresses.at(name);
+        return {name, address, address, true};
+    }
+
+    /// The founders of the simulation have addresses of their own making.
+    [[nodiscard]] RaftConfiguration addressed(RaftConfiguration configuration) const
+    {
+        for (auto &member : configuration.members)
+            member.address = m_addresses.at(member.instance);
+        return configuration;
+    }
+
+    std::mt19937_64 m_random;
+    RaftSimulation m_sim;
+    GroupMembershipSettings m_settings;
+    std::map<std::string, std::string> m_addresses; ///< By name.
+    std::map<std::string, MemberCandidate> m_candidates;
+    int m_machines = 0;
+    int m_disksLost = 0;
+};
+
+} // namespace
+
+TEST_CASE("a group keeps what it accepted through generated losses of members",
+          "[membership][generated]")
+{
+    // Guards against a second group, a vote that was forgotten with its disk, a change that is
+    // lost with a member that was replaced, and a group that never gets whole again.
+    const auto voters = GENERATE(std::size_t{3}, std::size_t{5});
+    const auto spares = GENERATE(0, 1);
+    const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{9}));
+    CAPTURE(voters, spares, seed);
+    SupervisedGroup group(seed, voters, spares);
+    group.run(3'000);
+    for (int n = 0; n < 12; ++n)
+        group.disturb();
+    group.sim().reconnect();
+    group.awaitWhole();
+    CHECK(group.sim().accepted().size() > 20);
+    CHECK_NOTHROW(group.sim().heal());
+}
--- a/test/correctness/InstanceDirectoryTest.cpp
+++ b/test/correctness/InstanceDirectoryTest.cpp
@@ -98,7 +98,7 @@
     InstanceView view;
     const auto passOn = [&](const InstanceDirectory &from) {
         for (const auto &report : from.changesSince(0))
-            (void)view.merge(report);
+            (void)view.merge(report, Milliseconds{0});
     };
     (void)a.report(makeReport(1), Milliseconds{0});
     passOn(a);
@@ -110,3 +110,33 @@
     passOn(b);
     CHECK(view.instances().at("worker-1").state == InstanceState::Ready);
 }
+
+TEST_CASE("a view forgets instances that are gone for long, and only those", "[directory]")
+{
+    // Guards against a view that grows with every instance that is ever replaced.
+    const Milliseconds hour{3'600'000};
+    const auto gone = withState(makeReport(2), InstanceState::Gone);
+    struct Case
+    {
+        const char *name;
+        std::vector<InstanceReport> reports; // All heard at the time 0.
+        Milliseconds askedAt;
+        std::size_t left;
+    };
+    const auto row = GENERATE_COPY(values<Case>(
+        {{"ready instances stay", {makeReport(1)}, hour, 1},
+         {"a gone one goes after a while", {makeReport(1), gone}, hour, 0},
+         {"but not before late reports of it have arrived",
+          {makeReport(1), gone},
+          Milliseconds{60'000},
+          1},
+         {"one that came back stays", {makeReport(1), gone, makeReport(3)}, hour, 1},
+         {"one that was born again stays", {makeReport(1), gone, makeReport(1, 2'000)}, hour, 1}}));
+    CAPTURE(row.name);
+    InstanceView view;
+    for (const auto &report : row.reports)
+        (void)view.merge(report, Milliseconds{0});
+    const auto before = view.instances().size();
+    CHECK(view.forgetGone(row.askedAt) == (row.left < before));
+    CHECK(view.instances().size() == row.left);
+}
--- /dev/null
+++ b/test/correctness/PlatformSettingsTest.cpp
@@ -0,0 +1,32 @@
+/// @file What the settings of an entry mean for its bounds.
+#include "PlatformSettings.h"
+#include "TestProcess.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+TEST_CASE("all runs of a submission end before its caller sends it again", "[platform][settings]")
+{
+    // Guards against bounds that stay as they are when callers come back sooner.
+    const auto resendMs = GENERATE(600.0, 1'300.0, 5'000.0);
+    const auto longestLeaseMs = GENERATE(400.0, 1'000.0, 10'000.0);
+    CAPTURE(resendMs, longestLeaseMs);
+    TemporaryFolder folder;
+    const auto path = folder.write("entry.yaml",
+                                   "instance: a\ndomain: north\nrpcListen: \"127.0.0.1:1\"\n"
+                                   "metricsListen: \"127.0.0.1:2\"\nseeds: []\n"
+                                   "callerListen: \"127.0.0.1:3\"\n"
+                                   "readinessListen: \"127.0.0.1:4\"\nlongestLeaseMs: "
+                                       + std::to_string(longestLeaseMs)
+                                       + "\nresendAfterMs: " + std::to_string(resendMs) + "\n");
+    const auto entry = Platform::loadEntrySettings(path).entry();
+    const auto &scheduler = entry.scheduler;
+    const double slowClock = 1.0 + scheduler.lease.clockDrift;
+    CHECK(scheduler.lease.lease.count() < longestLeaseMs);
+    CHECK(scheduler.lease.lease.count() * slowClock < resendMs);
+    CHECK(scheduler.requesterSilence.count() < resendMs);
+    // A requester gives up first: it must not wait for a job that its holder has stopped.
+    CHECK(entry.link.silence < scheduler.requesterSilence);
+}
