Recover faster when all processes were killed

Change: members that have never answered are asked every 50 ms; the first election after a start begins after 170 to 340 ms; all due cells are granted together and at once, spread evenly over entries that have started again; the known instances are kept on disk as a hint that each instance must confirm.

--- a/src/CellAssignment.cpp
+++ b/src/CellAssignment.cpp
@@ -3,6 +3,7 @@
 #include "CellMap.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace Camphor {
@@ -94,10 +95,12 @@
         });
     }
 
-    [[nodiscard]] std::size_t load(const std::string &entry) const
+    /// Cells that an entry serves. Those of its earlier processes will be granted anew.
+    [[nodiscard]] std::size_t load(const EntryIdentity &entry) const
     {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            m_grants, [&](const auto &it) { return it.second.holder == entry; }));
+        return static_cast<std::size_t>(std::ranges::count_if(m_grants, [&](const auto &it) {
+            return it.second.holder == entry.name && it.second.incarnation == entry.incarnation;
+        }));
     }
 
     /// The entry that should get the next cell of a domain.
@@ -106,7 +109,7 @@
         Milliseconds ownHeardAt = m_leaderSince;
         const EntryContact *chosen = nullptr;
         const auto rank = [&](const EntryContact &it) {
-            return std::make_tuple(it.entry.domain != domain, load(it.entry.name));
+            return std::make_tuple(it.entry.domain != domain, load(it.entry));
         };
         for (const auto &[name, contact] : m_contacts) {
             if (contact.entry.domain == domain)
@@ -144,4 +147,26 @@
     return std::nullopt;
 }
 
+std::vector<GrantCellCommand> dueGrants(const std::vector<std::string> &domains,
+                                        const std::map<std::string, EntryContact> &contacts,
+                                        const std::map<std::string, CellGrant> &grants,
+                                        Milliseconds leaderSince, Milliseconds now,
+                                        const CellAssignmentSettings &settings)
+{
+    std::vector<GrantCellCommand> commands;
+    // Each change counts as made, so that the next one finds the load that it leaves.
+    auto expected = grants;
+    std::set<std::string> changed;
+    while (auto command = nextGrant(domains, contacts, expected, leaderSince, now, settings)) {
+        const auto name = command->next.name();
+        // A cell that would change twice waits for the first change.
+        if (!changed.insert(name).second)
+            break;
+        expected[name] = command->next;
+        expected[name].token = command->expectedToken + 1;
+        commands.push_back(std::move(*command));
+    }
+    return commands;
+}
+
 } // namespace Camphor
--- a/src/CellAssignment.h
+++ b/src/CellAssignment.h
@@ -47,4 +47,12 @@
           const std::map<std::string, CellGrant> &grants, Milliseconds leaderSince,
           Milliseconds now, const CellAssignmentSettings &settings);
 
+/// All changes of holders that are due, one for each cell, so that a restart of all takes one
+/// synced write and not one for each cell. Parameters as above.
+[[nodiscard]] std::vector<GrantCellCommand>
+dueGrants(const std::vector<std::string> &domains,
+          const std::map<std::string, EntryContact> &contacts,
+          const std::map<std::string, CellGrant> &grants, Milliseconds leaderSince,
+          Milliseconds now, const CellAssignmentSettings &settings);
+
 } // namespace Camphor
--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -103,6 +103,7 @@
     raft.instance = settings.instance;
     raft.heartbeat = settings.heartbeat;
     raft.electionTimeout = settings.electionTimeout;
+    raft.startElectionTimeout = settings.startElectionTimeout;
     // Differing seeds keep the members' elections apart.
     raft.seed = XXH3_64bits(settings.instance.data(), settings.instance.size())
         ^ static_cast<std::uint64_t>(wallClockMs());
--- a/src/ControlSettings.h
+++ b/src/ControlSettings.h
@@ -23,6 +23,7 @@
     LogSettings log;
     Milliseconds heartbeat = RaftSettings{}.heartbeat;
     Milliseconds electionTimeout = RaftSettings{}.electionTimeout;
+    Milliseconds startElectionTimeout = RaftSettings{}.startElectionTimeout;
 
     /// Reads a file. Throws UserError with file, line, column, key and fix.
     [[nodiscard]] static ControlSettings load(const std::string &path);
--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -146,13 +146,13 @@
 bool ControlWatch::isReplaced(const Source &source) const
 {
     // While no member answers, nobody could name the address: it may be this entry that is cut off.
-    return m_updatedAt - source.namedAt > m_settings.forgetAfter;
+    return m_updatedAt && *m_updatedAt - source.namedAt > m_settings.forgetAfter;
 }
 
 void ControlWatch::retryLater(const std::string &address)
 {
     auto &timer = *m_sources.at(address).timer;
-    timer.expires_after(toChrono(m_settings.retryPause));
+    timer.expires_after(toChrono(m_updatedAt ? m_settings.retryPause : m_settings.startRetryPause));
     timer.async_wait([self = shared_from_this(), address](const boost::system::error_code &ec) {
         if (!ec)
             self->watch(address);
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,9 @@
     /// Time for an answer beyond the wait, before the connection counts as silent.
     Milliseconds answerSlack{500};
     Milliseconds retryPause{250};
+    /// The same while no member has ever answered: after a restart of all, members listen a little
+    /// later than entries.
+    Milliseconds startRetryPause{50};
     /// An address that neither answers nor is named by any member for this long was replaced.
     Milliseconds forgetAfter{60'000};
 };
@@ -87,7 +91,7 @@
     ControlWatchSettings m_settings;
     OnChange m_onChange;
     SteadyClock m_clock;
-    Milliseconds m_updatedAt{-1e18}; ///< When a member last answered.
+    std::optional<Milliseconds> m_updatedAt; ///< When a member last answered.
     std::map<std::string, Source> m_sources;
     FleetBelief m_belief;
     bool m_isLeaving = false;
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -3,16 +3,12 @@
 #include "AsioSupport.h"
 #include "Log.h"
 #include "RpcDecode.h"
+#include "SyncedFile.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -30,6 +26,8 @@
 /// A member that hears no leader for this long asks whether it was removed.
 constexpr Milliseconds LeaderlessTime{2'000};
 constexpr std::size_t MaxWatchers = 512;
+/// The known instances are written this often at most, because a synced write holds up the group.
+constexpr Milliseconds StoreInstancesPeriod{2'000};
 /// A candidate that did not ask again for this long has ended or was replaced.
 constexpr Milliseconds CandidateTime{30'000};
 /// An address that no member names for this long, while members answer, was replaced.
@@ -44,22 +42,6 @@
     return (std::uint64_t{device()} << 32) | device();
 }
 
-/// Writes a small new file that is durable when the call returns.
-Status writeFileSynced(const std::string &path, const std::string &text)
-{
-    constexpr mode_t OwnerOnly = 0600;
-    const int fd = ::open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, OwnerOnly);
-    if (fd < 0)
-        return Error{ErrorCode::Storage, path + ": " + std::strerror(errno)};
-    const auto written = ::write(fd, text.data(), text.size());
-    const bool isStored = written == static_cast<ssize_t>(text.size()) && ::fsync(fd) == 0;
-    const int code = errno;
-    ::close(fd);
-    if (!isStored)
-        return Error{ErrorCode::Storage, path + ": " + std::strerror(code)};
-    return okStatus();
-}
-
 } // namespace
 
 FleetControl::FleetControl(Asio::io_context &io, FleetControlSettings settings)
@@ -148,20 +130,27 @@
     node.dataFolder = m_settings.dataFolder;
     node.heartbeat = m_settings.heartbeat;
     node.electionTimeout = m_settings.electionTimeout;
+    node.startElectionTimeout = m_settings.startElectionTimeout;
     m_node = std::make_shared<ControlNode>(m_io, node, std::move(storage),
                                            [weak = weak_from_this()](const Error &reason) {
                                                if (const auto self = weak.lock())
                                                    self->reopenLater(reason);
                                            });
     m_node->setOnChange([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->answerWatchers(false);
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->answerWatchers(false);
+        // A new leader has holders to replace at once.
+        if (self->m_node->isLeader() != self->m_wasLeader)
+            Asio::post(self->m_node->strand(), [self] { self->leadGroup(); });
     });
 
     m_rpcSettings.cluster = m_settings.cluster;
     m_rpcSettings.instance = m_name;
     m_joinClients.clear();
     m_leaderClient.reset();
+    m_grantsInFlight = 0;
     m_node->start();
     return okStatus();
 }
@@ -181,6 +170,7 @@
     if (!rpc)
         return rpc.error();
     m_rpc = std::move(rpc).value();
+    restoreInstances();
     armTimer();
     return okStatus();
 }
@@ -199,6 +189,34 @@
 
 // --- Instances
 
+void FleetControl::restoreInstances()
+{
+    const auto reports = InstanceFile(m_settings.dataFolder).read();
+    if (!reports) {
+        Log::warning(LogEvent::InstanceFileFailed).kv("reason", reports.error().message);
+        return;
+    }
+    // They count as heard now; those that are gone fall silent like any other.
+    for (const auto &report : reports.value())
+        (void)m_directory.report(report, m_clock.now());
+    m_storedRevision = m_directory.revision();
+    Log::info(LogEvent::InstancesRestored).kv("count", reports.value().size());
+}
+
+void FleetControl::storeInstances()
+{
+    const auto now = m_clock.now();
+    if (m_directory.revision() == m_storedRevision || now < m_nextStoreAt)
+        return;
+    m_nextStoreAt = now + StoreInstancesPeriod;
+    m_storedRevision = m_directory.revision();
+    auto reports = m_directory.changesSince(0);
+    std::erase_if(reports,
+                  [](const InstanceReport &it) { return it.state == InstanceState::Gone; });
+    if (const auto status = InstanceFile(m_settings.dataFolder).write(reports); !status)
+        Log::warning(LogEvent::InstanceFileFailed).kv("reason", status.error().message);
+}
+
 void FleetControl::reportInstance(const InstanceReport &report)
 {
     m_metrics.countReport(true);
@@ -469,6 +487,7 @@
     joinGroup();
     leadGroup();
     answerWatchers(false);
+    storeInstances();
 }
 
 void FleetControl::leadGroup()
@@ -483,41 +502,48 @@
     }
     if (!isLeader)
         return;
+    changeMembers(now);
+    if (m_grantsInFlight == 0)
+        grantCells(now);
+}
+
+void FleetControl::changeMembers(Milliseconds now)
+{
     const auto step = nextMembershipStep(
         m_node->group(), m_name, m_candidates,
         [this](const std::string &member) { return m_node->lastReply(member); }, now,
         m_settings.membership);
-    if (step.kind != MembershipStep::Kind::None) {
-        const bool isAdd = step.kind == MembershipStep::Kind::Add;
-        const auto status =
-            isAdd ? m_node->addMember(step.member) : m_node->removeMember(step.member.instance);
-        Log::info(LogEvent::MembershipChange)
-            .kv("step", isAdd ? "add" : "remove")
-            .kv("member", step.member.instance)
-            .kv("reason", step.reason)
-            .kv("result", status ? "proposed" : status.error().message);
-    }
-    if (m_isGrantInFlight)
+    if (step.kind == MembershipStep::Kind::None)
         return;
-    const auto grant = nextGrant(m_settings.domains, m_entries, m_node->state().grants(),
-                                 m_leaderSince, now, m_settings.assignment);
-    if (!grant)
-        return;
-    m_isGrantInFlight = true;
-    Log::info(LogEvent::CellGrant)
-        .kv("cell", grant->next.name())
-        .kv("cellCount", grant->next.cellCount)
-        .kv("holder", grant->next.holder)
-        .kv("incarnation", grant->next.incarnation)
-        .kv("formerToken", grant->expectedToken);
-    m_node->propose(*grant, [weak = weak_from_this()](const std::optional<ControlReply> &) {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        self->m_isGrantInFlight = false;
-        // The next cell follows at once: after a restart of all there are many.
-        Asio::post(self->m_node->strand(), [self] { self->leadGroup(); });
-    });
+    const bool isAdd = step.kind == MembershipStep::Kind::Add;
+    const auto status =
+        isAdd ? m_node->addMember(step.member) : m_node->removeMember(step.member.instance);
+    Log::info(LogEvent::MembershipChange)
+        .kv("step", isAdd ? "add" : "remove")
+        .kv("member", step.member.instance)
+        .kv("reason", step.reason)
+        .kv("result", status ? "proposed" : status.error().message);
+}
+
+void FleetControl::grantCells(Milliseconds now)
+{
+    const auto commands = dueGrants(m_settings.domains, m_entries, m_node->state().grants(),
+                                    m_leaderSince, now, m_settings.assignment);
+    m_grantsInFlight = commands.size();
+    for (const auto &command : commands) {
+        Log::info(LogEvent::CellGrant)
+            .kv("cell", command.next.name())
+            .kv("cellCount", command.next.cellCount)
+            .kv("holder", command.next.holder)
+            .kv("incarnation", command.next.incarnation)
+            .kv("formerToken", command.expectedToken);
+        m_node->propose(command, [weak = weak_from_this()](const std::optional<ControlReply> &) {
+            const auto self = weak.lock();
+            // What could not be granted is due again.
+            if (self && self->m_grantsInFlight > 0 && --self->m_grantsInFlight == 0)
+                Asio::post(self->m_node->strand(), [self] { self->leadGroup(); });
+        });
+    }
 }
 
 } // namespace Camphor
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -8,6 +8,7 @@
 #include "FleetProtocol.h"
 #include "GroupMembership.h"
 #include "InstanceDirectory.h"
+#include "InstanceFile.h"
 #include "RpcServer.h"
 
 #include <functional>
@@ -34,6 +35,7 @@
     /// Between members. A vote costs two synced writes, which are a few tens of milliseconds.
     Milliseconds heartbeat{80};
     Milliseconds electionTimeout{400};
+    Milliseconds startElectionTimeout{170}; ///< See RaftSettings.
     GroupMembershipSettings membership;
     CellAssignmentSettings assignment;
 };
@@ -89,9 +91,14 @@
     [[nodiscard]] bool hasNews(const WatchFleetRequest &request) const;
     [[nodiscard]] FleetUpdate makeUpdate(const WatchFleetRequest &request) const;
     void answerWatchers(bool all);
+    void restoreInstances();
+    /// Keeps the known instances on disk, so that a restart of all need not wait for reports.
+    void storeInstances();
     void armTimer();
     void tick();
     void leadGroup();
+    void changeMembers(Milliseconds now);
+    void grantCells(Milliseconds now);
     void joinGroup();
     void askToJoin(const std::string &address);
     void onJoinReply(const JoinGroupReply &reply);
@@ -117,6 +124,8 @@
     FleetMetrics m_metrics;
     InstanceDirectory m_directory;
     std::uint64_t m_epoch = 0; ///< Of m_directory: differs for each process.
+    std::uint64_t m_storedRevision = 0; ///< Of m_directory, that is on disk.
+    Milliseconds m_nextStoreAt;
     std::list<Watcher> m_watchers;
 
     std::vector<Address> m_seeds; ///< As the settings name them now.
@@ -129,7 +138,7 @@
     std::shared_ptr<RpcClient> m_leaderClient; ///< For operators' calls.
     Milliseconds m_leaderSince{-1};
     bool m_wasLeader = false;
-    bool m_isGrantInFlight = false;
+    std::size_t m_grantsInFlight = 0;
     Milliseconds m_nextJoinAt;
 };
 
--- /dev/null
+++ b/src/InstanceFile.cpp
@@ -0,0 +1,66 @@
+#include "InstanceFile.h"
+
+#include "SyncedFile.h"
+#include "Wire.h"
+
+#include <xxhash.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace Camphor {
+
+namespace {
+
+/// What the file holds; the checksum finds a write that a loss of power has torn.
+struct StoredInstances
+{
+    std::vector<InstanceReport> reports;
+    std::uint64_t checksum = 0; ///< Of the encoded reports.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(reports, checksum);
+    }
+};
+
+std::uint64_t checksumOf(const std::vector<InstanceReport> &reports)
+{
+    const auto bytes = encodeMessage(reports);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+} // namespace
+
+Result<std::vector<InstanceReport>> InstanceFile::read() const
+{
+    std::ifstream file(m_path, std::ios::binary);
+    if (!file)
+        return std::vector<InstanceReport>{};
+    std::ostringstream content;
+    content << file.rdbuf();
+    auto stored = decodeMessage<StoredInstances>(content.str());
+    if (!stored)
+        return stored.error();
+    if (stored.value().checksum != checksumOf(stored.value().reports))
+        return Error{ErrorCode::Storage, m_path + ": the checksum is wrong"};
+    return std::move(stored).value().reports;
+}
+
+Status InstanceFile::write(const std::vector<InstanceReport> &reports) const
+{
+    const auto temporary = m_path + ".new";
+    const auto status =
+        writeFileSynced(temporary, encodeMessage(StoredInstances{reports, checksumOf(reports)}));
+    if (!status)
+        return status;
+    std::error_code ec;
+    std::filesystem::rename(temporary, m_path, ec);
+    if (ec)
+        return Error{ErrorCode::Storage, m_path + ": " + ec.message()};
+    return okStatus();
+}
+
+} // namespace Camphor
--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -66,7 +66,9 @@
         m_log.push_back(std::move(entry));
     }
     m_synced = m_written = lastIndex();
-    resetElectionTimer();
+    armElectionTimer(m_settings.startElectionTimeout > Milliseconds{0}
+                         ? m_settings.startElectionTimeout
+                         : m_settings.electionTimeout);
 }
 
 std::uint64_t RaftCore::lastIndex() const
@@ -131,10 +133,12 @@
 
 // --- Time and roles
 
-void RaftCore::resetElectionTimer()
+void RaftCore::resetElectionTimer() { armElectionTimer(m_settings.electionTimeout); }
+
+void RaftCore::armElectionTimer(Milliseconds timeout)
 {
     const double factor = std::uniform_real_distribution<double>(1.0, 2.0)(m_random);
-    m_electionAt = m_now + m_settings.electionTimeout * factor;
+    m_electionAt = m_now + timeout * factor;
 }
 
 Milliseconds RaftCore::nextDeadline() const { return isLeader() ? m_heartbeatAt : m_electionAt; }
--- a/src/RaftCore.h
+++ b/src/RaftCore.h
@@ -241,6 +241,10 @@
     /// Elections start after a random time from one to two of these. A leader that has heard from
     /// no majority for one of these steps down.
     Milliseconds electionTimeout{1'000};
+    /// The same for the first election after a start; 0 for electionTimeout. When all members were
+    /// killed there is nobody to wait for, and a group that has a leader answers the pre-vote with
+    /// no. It must be longer than two heartbeats.
+    Milliseconds startElectionTimeout{0};
     std::size_t maxAppendBytes = std::size_t{1} * 1024 * 1024;
     Milliseconds resendAfter{400}; ///< For entries whose answer is missing.
     Milliseconds resendSnapshotAfter{3'000};
@@ -351,6 +355,7 @@
     void becomeLeader();
     void becomeFollower(std::uint64_t term);
     void resetElectionTimer();
+    void armElectionTimer(Milliseconds timeout);
 
     std::uint64_t append(RaftEntryKind kind, std::string data);
     void truncate(std::uint64_t from);
--- a/src/SyncedFile.cpp
+++ b/src/SyncedFile.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 #include <filesystem>
 #include <system_error>
 
@@ -193,4 +194,19 @@
     return std::shared_ptr<SyncedFolder>(std::make_shared<PosixFolder>(std::move(fd), path));
 }
 
+Status writeFileSynced(const std::string &path, const std::string &text)
+{
+    constexpr mode_t OwnerOnly = 0600;
+    const int fd = ::open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, OwnerOnly);
+    if (fd < 0)
+        return Error{ErrorCode::Storage, path + ": " + std::strerror(errno)};
+    const auto written = ::write(fd, text.data(), text.size());
+    const bool isStored = written == static_cast<ssize_t>(text.size()) && ::fsync(fd) == 0;
+    const int code = errno;
+    ::close(fd);
+    if (!isStored)
+        return Error{ErrorCode::Storage, path + ": " + std::strerror(code)};
+    return okStatus();
+}
+
 } // namespace Camphor
--- a/src/SyncedFile.h
+++ b/src/SyncedFile.h
@@ -45,4 +45,7 @@
     [[nodiscard]] virtual Status truncate(const std::string &name, std::uint64_t size) = 0;
 };
 
+/// Writes a small file that is durable when the call returns, in place of one that is there.
+[[nodiscard]] Status writeFileSynced(const std::string &path, const std::string &text);
+
 } // namespace Camphor
--- a/test/correctness/CellAssignmentTest.cpp
+++ b/test/correctness/CellAssignmentTest.cpp
@@ -184,3 +184,43 @@
     grants[present.name()] = present;
     CHECK(CellMap(grants).cells("north").size() == 1);
 }
+
+TEST_CASE("after a restart of all holders every cell is granted at once", "[cells]")
+{
+    // Guards against a recovery that takes one synced write after the other, cell by cell.
+    World world;
+    for (const auto *name : {"n1", "n2", "n3"})
+        world.hear(name, "north", 1, 60);
+    world.hear("s1", "south");
+    CHECK(world.settle() == 4);
+    for (auto &[name, contact] : world.contacts)
+        contact.entry.incarnation = 2;
+    const auto due = dueGrants(world.domains, world.contacts, world.grants, world.now, world.now,
+                               world.settings);
+    CHECK(due.size() == 4);
+    std::set<std::string> cells;
+    std::set<std::string> holders;
+    for (const auto &command : due) {
+        CHECK(cells.insert(command.next.name()).second);
+        CHECK(command.expectedToken == world.grants.at(command.next.name()).token);
+        CHECK(command.next.incarnation == 2);
+        holders.insert(command.next.holder);
+    }
+    CHECK(holders.size() == 4);
+}
+
+TEST_CASE("all due changes together are those that come one by one", "[cells]")
+{
+    World world;
+    for (const auto *name : {"n1", "n2", "n3"})
+        world.hear(name, "north", 1, 60);
+    world.hear("s1", "south");
+    const auto due =
+        dueGrants(world.domains, world.contacts, {}, Milliseconds{0}, world.now, world.settings);
+    CHECK(static_cast<int>(due.size()) == world.settle());
+    for (const auto &command : due)
+        CHECK(world.grants.at(command.next.name()).holder == command.next.holder);
+    CHECK(dueGrants(world.domains, world.contacts, world.grants, Milliseconds{0}, world.now,
+                    world.settings)
+              .empty());
+}
