Let callers wait a moment after a start in place of refusing them

Cause: after a kill of all, calls that arrived within 0.4 s of the restart were refused with 503 or as no-holder, although both the configuration and the holders were there 0.2 to 0.3 s later; their callers do not come back. A new leader granted cells only with its timer, because the grants of before were not applied yet when it was elected. Change: for 0.6 s after its start an entry lets calls wait for the configuration and jobs for a holder (bounded, and not for callers that have left); a leader grants when it has applied its log. Tests: FleetEntryTest, with a control instance that starts later.

--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -141,8 +141,8 @@
         if (!self)
             return;
         self->answerWatchers(false);
-        // A new leader has holders to replace at once.
-        if (self->m_node->isLeader() != self->m_wasLeader)
+        // A new leader has holders to replace at once, when it has applied what was granted.
+        if (self->m_node->isLeader() || self->m_wasLeader)
             Asio::post(self->m_node->strand(), [self] { self->leadGroup(); });
     });
 
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -55,6 +55,7 @@
     , m_instances(std::move(instances))
     , m_reader(std::move(reader))
     , m_timer(io)
+    , m_graceTimer(io)
     , m_scheduler(m_settings.scheduler)
 {
 }
@@ -98,6 +99,11 @@
             self->onBelief();
     });
     m_watch->start();
+    m_graceTimer.expires_after(toChrono(m_settings.startGrace));
+    m_graceTimer.async_wait([self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec)
+            self->releaseStartWaiters();
+    });
     armTimer(m_clock.now());
     return okStatus();
 }
@@ -136,6 +142,8 @@
             tokens[id] = grant->token;
     }
     m_scheduler.setInstances(belief.instances.instances(), tokens, m_clock.now());
+    if (m_configuration)
+        releaseStartWaiters();
     schedule();
 }
 
@@ -222,7 +230,7 @@
     if (grant == nullptr)
         grant = nextGrant(waiting.tried, false);
     if (grant == nullptr) {
-        answer(jobId, notRun("no-holder", NoHolderRetryMs));
+        onNoHolder(jobId);
         return;
     }
     waiting.tried.push_back(grant->address);
@@ -245,6 +253,44 @@
         [self = shared_from_this(), jobId](const auto &it) { self->onHandedOver(jobId, it); });
 }
 
+bool FleetEntry::isStarting() const
+{
+    return m_clock.now() - m_startedAt < m_settings.startGrace && !m_isLeaving;
+}
+
+void FleetEntry::onNoHolder(const std::string &jobId)
+{
+    if (!isStarting()) {
+        answer(jobId, notRun("no-holder", NoHolderRetryMs));
+        return;
+    }
+    // Nothing of the job was taken anywhere, so everyone may be asked again.
+    m_waiting.at(jobId).tried.clear();
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(m_io, toChrono(m_settings.reroutePause));
+    timer->async_wait([self = shared_from_this(), timer, jobId](const boost::system::error_code &) {
+        if (self->m_waiting.contains(jobId))
+            self->route(jobId);
+    });
+}
+
+void FleetEntry::whenConfigured(std::function<void()> callback)
+{
+    const bool mayWait =
+        !m_configuration && isStarting() && m_startWaiters.size() < m_settings.maxStartWaiters;
+    if (!mayWait) {
+        callback();
+        return;
+    }
+    m_startWaiters.push_back(std::move(callback));
+}
+
+void FleetEntry::releaseStartWaiters()
+{
+    for (const auto &callback : std::exchange(m_startWaiters, {}))
+        callback();
+}
+
 void FleetEntry::onHandedOver(const std::string &jobId,
                               const std::variant<JobOutcome, HandOverFailure> &it)
 {
@@ -511,6 +557,18 @@
     }
 }
 
+void FleetEntry::stop()
+{
+    m_isLeaving = true;
+    m_startWaiters.clear();
+    m_timer.cancel();
+    m_graceTimer.cancel();
+    m_watch->stop();
+    m_link->stop();
+    m_rpc->stop();
+    m_rpc.reset();
+}
+
 void FleetEntry::checkLeaving()
 {
     const auto spent = m_clock.now() - m_leavingSince;
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -30,6 +30,13 @@
     Milliseconds fullPause{20};
     /// Other holders that are asked about one job at a time.
     std::size_t maxOffers = 3;
+    /// For this long after its start an entry lets callers wait for the configuration and for
+    /// holders in place of refusing them: after a restart of all, both are there within it.
+    Milliseconds startGrace{600};
+    /// Callers that may wait so.
+    std::size_t maxStartWaiters = 1'000;
+    /// Pause before holders are looked for again.
+    Milliseconds reroutePause{30};
 };
 
 /// Reads a configuration's text. Implemented by the adapter that also accepted it.
@@ -48,6 +55,8 @@
 
     /// The configuration in force, or null while none is known.
     [[nodiscard]] const FleetConfiguration *configuration() const { return m_configuration.get(); }
+    /// Calls back when there is a configuration, or when waiting for one has no use.
+    void whenConfigured(std::function<void()> callback);
     /// Runs a job; calls back when it has ended or was refused. A job that is in progress here
     /// is joined.
     void submit(const FleetJob &job, OutcomeCallback callback);
@@ -67,6 +76,8 @@
     void stopIntake() { m_isIntakeStopped = true; }
     /// Answers all jobs in progress as unknown, and stops their runs.
     void abandonAll();
+    /// Closes all connections and ends all timers; nothing may be asked of the entry afterwards.
+    void stop();
 
 private:
     /// A job that callers wait for here.
@@ -97,6 +108,10 @@
     /// The next holder to ask: cells of the own domain in turn, then those of others.
     [[nodiscard]] const CellGrant *nextGrant(const std::vector<std::string> &tried, bool skipsFull);
     void route(const std::string &jobId);
+    /// No holder can be asked now: waits a moment after the start, and refuses the job otherwise.
+    void onNoHolder(const std::string &jobId);
+    [[nodiscard]] bool isStarting() const;
+    void releaseStartWaiters();
     void onHandedOver(const std::string &jobId,
                       const std::variant<JobOutcome, HandOverFailure> &it);
     void answer(const std::string &jobId, const JobOutcome &outcome);
@@ -125,6 +140,7 @@
     std::shared_ptr<HolderLink> m_link;
     std::shared_ptr<RpcServer> m_rpc;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_graceTimer;
 
     FleetMetrics m_metrics;
     RunScheduler m_scheduler;
@@ -140,6 +156,8 @@
     bool m_hasLeft = false;
     bool m_isIntakeStopped = false;
     Milliseconds m_leavingSince;
+    Milliseconds m_startedAt = m_clock.now();
+    std::vector<std::function<void()>> m_startWaiters;
 };
 
 } // namespace Camphor
--- a/src/Http.h
+++ b/src/Http.h
@@ -26,12 +26,17 @@
     void setOnGone(std::function<void()> onGone) { m_onGone = std::move(onGone); }
     void leave()
     {
+        m_hasLeft = true;
         if (const auto onGone = std::exchange(m_onGone, nullptr))
             onGone();
     }
 
+    /// Whether nobody waits for the answer any more.
+    [[nodiscard]] bool hasLeft() const { return m_hasLeft; }
+
 private:
     std::function<void()> m_onGone;
+    bool m_hasLeft = false;
 };
 
 /// A request as a server receives it or a client sends it.
--- /dev/null
+++ b/test/correctness/FleetEntryTest.cpp
@@ -0,0 +1,157 @@
+/// @file An entry that has just started, before control instances and holders are there.
+#include "FleetEntry.h"
+#include "TestProcess.h"
+#include "Wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+namespace {
+
+constexpr Milliseconds Hour{3'600'000};
+
+/// Instances that are never called, because none is known.
+class NoInstances : public InstanceClient
+{
+public:
+    void start(const StartOrder &, Milliseconds, OrderCallback) override { }
+    void stop(const StopOrder &, Milliseconds, OrderCallback) override { }
+    void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
+};
+
+Result<FleetConfiguration> readConfiguration(const std::string &, std::uint64_t version)
+{
+    FleetConfiguration configuration;
+    configuration.version = version;
+    QueueRule queue;
+    queue.name = "queue";
+    queue.service = "service";
+    configuration.queues.push_back(queue);
+    return configuration;
+}
+
+/// An entry and a control instance that can start later.
+struct World
+{
+    explicit World(Milliseconds startGrace)
+    {
+        settings.cluster = "test";
+        settings.self = {"entry", "north", Address{"127.0.0.1", freePort()}.toString(), 7};
+        settings.seeds = {control.toString()};
+        settings.startGrace = startGrace;
+        settings.reroutePause = Milliseconds{5};
+        entry = FleetEntry::make(io, settings, std::make_shared<NoInstances>(), readConfiguration)
+                    .value();
+    }
+
+    ~World()
+    {
+        entry->stop();
+        if (server)
+            server->stop();
+        io.restart();
+        io.run_for(std::chrono::seconds(5));
+    }
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    void startControl(bool grantsCell)
+    {
+        RpcSettings rpc;
+        rpc.cluster = settings.cluster;
+        rpc.instance = "control";
+        FleetUpdate update;
+        update.documentVersion = 3;
+        update.documentText = "text";
+        if (grantsCell)
+            update.grants = {{"north", 0, 1, "entry", settings.self.address, 7, 1}};
+        server = RpcServer::make(io, control, rpc,
+                                 [update](const Hello &, MessageKind, const std::string &,
+                                          const RpcReply &reply) { reply(encodeMessage(update)); })
+                     .value();
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        CHECK(waitUntil([&] {
+            runAWhile();
+            return condition();
+        }));
+    }
+
+    void runAWhile()
+    {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(20));
+    }
+
+    boost::asio::io_context io;
+    Address control{"127.0.0.1", freePort()};
+    FleetEntrySettings settings;
+    std::shared_ptr<FleetEntry> entry;
+    std::shared_ptr<RpcServer> server;
+};
+
+FleetJob makeJob()
+{
+    JobStep step;
+    step.demand = {1'000, 1, 0};
+    return {"job", "queue", "payload", {step}};
+}
+
+} // namespace
+
+TEST_CASE("after a start, callers wait for the configuration in place of a refusal", "[entry]")
+{
+    // Guards against refusals in the moment between the restart of all processes and the first
+    // answer of the control group.
+    World world(Hour);
+    bool isCalled = false;
+    world.entry->whenConfigured([&] { isCalled = true; });
+    world.runAWhile();
+    CHECK_FALSE(isCalled);
+    world.startControl(false);
+    world.runUntil([&] { return isCalled; });
+    CHECK(world.entry->configuration() != nullptr);
+}
+
+TEST_CASE("later, nobody waits for a configuration", "[entry]")
+{
+    World world(Milliseconds{0});
+    bool isCalled = false;
+    world.entry->whenConfigured([&] { isCalled = true; });
+    CHECK(isCalled);
+    CHECK(world.entry->configuration() == nullptr);
+}
+
+TEST_CASE("the callers that may wait after a start are bounded", "[entry]")
+{
+    World world(Hour);
+    std::size_t called = 0;
+    for (std::size_t n = 0; n < world.settings.maxStartWaiters + 5; ++n)
+        world.entry->whenConfigured([&] { ++called; });
+    CHECK(called == 5);
+}
+
+TEST_CASE("after a start, jobs wait for a holder in place of a refusal", "[entry]")
+{
+    const bool isStarting = GENERATE(true, false);
+    CAPTURE(isStarting);
+    World world(isStarting ? Hour : Milliseconds{0});
+    std::optional<JobOutcome> outcome;
+    world.entry->submit(makeJob(), [&](const JobOutcome &it) { outcome = it; });
+    world.runAWhile();
+    CHECK(outcome.has_value() == !isStarting);
+    if (!isStarting) {
+        CHECK(outcome->reason == "no-holder");
+        return;
+    }
+    world.startControl(true);
+    world.runUntil([&] { return outcome.has_value(); });
+    // It has reached the scheduler, which knows no instance.
+    REQUIRE(outcome);
+    CHECK(outcome->verdict == JobVerdict::NotRun);
+    CHECK(outcome->reason == "no-instance");
+}
