Write refusals and failures even when a flood fills the log, and wait 1 s after a start

Change 1: answers other than completed, refusals, blamed instances and unexpected ends are no longer under that bound; starts, joins and runs that ended as done still are. Change 2: callers wait for up to 1 s after the start of an entry.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -46,6 +46,14 @@
     return LogEvent::RunEnded;
 }
 
+/// Starts and expected ends are by far the most lines and may be left out in a flood.
+bool isOrdinary(const ScheduleEvent &event)
+{
+    using Kind = ScheduleEvent::Kind;
+    return event.kind == Kind::Started || event.kind == Kind::Joined
+        || (event.kind == Kind::Ended && event.end == RunEnd::Done);
+}
+
 } // namespace
 
 FleetEntry::FleetEntry(boost::asio::io_context &io, FleetEntrySettings settings,
@@ -316,7 +324,9 @@
     if (node.empty())
         return;
     const auto &waiting = node.mapped();
-    Log::decision(LogEvent::JobAnswered)
+    // What on-call looks for is not left out with the ordinary lines of a flood.
+    const bool isOrdinary = outcome.verdict == JobVerdict::Completed;
+    LogLine(isOrdinary ? LogLevel::Decision : LogLevel::Info, LogEvent::JobAnswered)
         .kv("request", jobId)
         .kv("queue", waiting.job.queue)
         .kv("verdict", jobVerdictName(outcome.verdict))
@@ -516,7 +526,7 @@
             m_metrics.countStart(Milliseconds{event.value});
         if (event.end)
             m_metrics.countRunEnd(*event.end);
-        Log::decision(eventOf(event.kind))
+        LogLine(isOrdinary(event) ? LogLevel::Decision : LogLevel::Info, eventOf(event.kind))
             .kv("request", event.jobId)
             .kv("task", event.run.task)
             .kv("run", event.run.run)
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -31,8 +31,9 @@
     /// Other holders that are asked about one job at a time.
     std::size_t maxOffers = 3;
     /// For this long after its start an entry lets callers wait for the configuration and for
-    /// holders in place of refusing them: after a restart of all, both are there within it.
-    Milliseconds startGrace{600};
+    /// holders in place of refusing them: after a loss of power of all, members start a third of
+    /// a second later than entries and need another third to elect a leader.
+    Milliseconds startGrace{1'000};
     /// Callers that may wait so.
     std::size_t maxStartWaiters = 1'000;
     /// Pause before holders are looked for again.
