--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -540,7 +540,10 @@
         m_node->propose(command, [weak = weak_from_this()](const std::optional<ControlReply> &) {
             const auto self = weak.lock();
             // What could not be granted is due again.
-            if (self && self->m_grantsInFlight > 0 && --self->m_grantsInFlight == 0)
+            if (!self || self->m_grantsInFlight == 0)
+                return;
+            --self->m_grantsInFlight;
+            if (self->m_grantsInFlight == 0)
                 Asio::post(self->m_node->strand(), [self] { self->leadGroup(); });
         });
     }
--- a/src/InstanceFile.cpp
+++ b/src/InstanceFile.cpp
@@ -52,7 +52,7 @@
 Status InstanceFile::write(const std::vector<InstanceReport> &reports) const
 {
     const auto temporary = m_path + ".new";
-    const auto status =
+    auto status =
         writeFileSynced(temporary, encodeMessage(StoredInstances{reports, checksumOf(reports)}));
     if (!status)
         return status;
--- /dev/null
+++ b/test/RpcSupport.h
@@ -0,0 +1,19 @@
+/// @file Settings of the RPC ends that tests make.
+#pragma once
+
+#include "RpcServer.h"
+
+#include <string>
+
+namespace Camphor::Testing {
+
+/// All tests share one cluster name, because ends of different clusters refuse each other.
+inline RpcSettings makeRpc(const std::string &instance)
+{
+    RpcSettings rpc;
+    rpc.cluster = "test";
+    rpc.instance = instance;
+    return rpc;
+}
+
+} // namespace Camphor::Testing
--- a/test/correctness/ControlGroupTest.cpp
+++ b/test/correctness/ControlGroupTest.cpp
@@ -1,6 +1,7 @@
 #include "ControlGroup.h"
 #include "ControlReplicaSetStore.h"
 #include "ControlSubscription.h"
+#include "RpcSupport.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,14 +15,6 @@
 
 namespace {
 
-RpcSettings rpcSettings(const std::string &instance)
-{
-    RpcSettings settings;
-    settings.cluster = "test";
-    settings.instance = instance;
-    return settings;
-}
-
 /// An io_context with a thread of its own.
 class IoThread
 {
@@ -167,7 +160,7 @@
     ControlGroup group(3);
     IoThread thread;
     const auto subscription =
-        ControlSubscription::make(thread.io(), group.rpcAddresses(), rpcSettings("entry-1"));
+        ControlSubscription::make(thread.io(), group.rpcAddresses(), makeRpc("entry-1"));
     std::atomic<std::size_t> buckets = 0;
     subscription->onBuckets([&](const auto &homes) { buckets = homes.size(); });
     const auto delivered = follow(*subscription);
@@ -175,7 +168,7 @@
     CHECK(waitUntil([&] { return delivered->last().version == 1 && buckets == 1'024; }));
 
     const auto store =
-        ControlReplicaSetStore::make(thread.io(), group.rpcAddresses(), rpcSettings("ledger-1"));
+        ControlReplicaSetStore::make(thread.io(), group.rpcAddresses(), makeRpc("ledger-1"));
     ReplicaSet set;
     set.epoch = 1;
     set.primary = {"ledger-1", 7, "127.0.0.1:7"};
--- a/test/correctness/ControlWatchTest.cpp
+++ b/test/correctness/ControlWatchTest.cpp
@@ -1,6 +1,6 @@
 /// @file An entry's long polls of control instances that come and go.
 #include "ControlWatch.h"
-#include "RpcServer.h"
+#include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
 
@@ -11,14 +11,6 @@
 
 namespace {
 
-RpcSettings makeRpc(const std::string &instance)
-{
-    RpcSettings rpc;
-    rpc.cluster = "test";
-    rpc.instance = instance;
-    return rpc;
-}
-
 /// Answers every poll at once and names the given members.
 std::shared_ptr<RpcServer> makeControl(boost::asio::io_context &io, const Address &address,
                                        const std::vector<std::string> &named)
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -1,5 +1,6 @@
 /// @file An entry that has just started, before control instances and holders are there.
 #include "FleetEntry.h"
+#include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
 
@@ -37,7 +38,7 @@
 {
     explicit World(Milliseconds startGrace)
     {
-        settings.cluster = "test";
+        settings.cluster = makeRpc({}).cluster;
         settings.self = {"entry", "north", Address{"127.0.0.1", freePort()}.toString(), 7};
         settings.seeds = {control.toString()};
         settings.startGrace = startGrace;
@@ -59,15 +60,12 @@
 
     void startControl(bool grantsCell)
     {
-        RpcSettings rpc;
-        rpc.cluster = settings.cluster;
-        rpc.instance = "control";
         FleetUpdate update;
         update.documentVersion = 3;
         update.documentText = "text";
         if (grantsCell)
             update.grants = {{"north", 0, 1, "entry", settings.self.address, 7, 1}};
-        server = RpcServer::make(io, control, rpc,
+        server = RpcServer::make(io, control, makeRpc("control"),
                                  [update](const Hello &, MessageKind, const std::string &,
                                           const RpcReply &reply) { reply(encodeMessage(update)); })
                      .value();
--- a/test/correctness/HolderLinkTest.cpp
+++ b/test/correctness/HolderLinkTest.cpp
@@ -1,6 +1,6 @@
 /// @file The link to cell holders: what is known when one is lost, and when it is asked again.
 #include "HolderLink.h"
-#include "RpcServer.h"
+#include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
 
@@ -11,14 +11,6 @@
 
 namespace {
 
-RpcSettings makeRpc(const std::string &instance)
-{
-    RpcSettings rpc;
-    rpc.cluster = "test";
-    rpc.instance = instance;
-    return rpc;
-}
-
 /// Answers pings, and jobs only if told to.
 std::shared_ptr<RpcServer> makeHolder(boost::asio::io_context &io, const Address &address,
                                       bool answersJobs)
--- a/test/correctness/LogTimelineTest.cpp
+++ b/test/correctness/LogTimelineTest.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 using namespace Camphor;
 
 namespace {
@@ -18,8 +21,8 @@
 std::vector<std::string> eventsOf(const std::vector<TimelineEntry> &entries)
 {
     std::vector<std::string> events;
-    for (const auto &entry : entries)
-        events.push_back(parseLogLine(entry.text)->event);
+    std::ranges::transform(entries, std::back_inserter(events),
+                           [](const TimelineEntry &it) { return parseLogLine(it.text)->event; });
     return events;
 }
 
