Read empty lists without touching memory, which ended entries in sanitizer builds

Cause: WireInput::read passed the null pointer of an empty vector to memcpy. A job whose steps depend on none holds such a vector, so an entry of the address build that was handed a job by another one ended with UndefinedBehaviorSanitizer's error. Change: nothing is copied for a size of 0. Ruled out: a timeout of a busy machine; the cases fail in 30 s each on any machine without the change.

--- a/src/Wire.h
+++ b/src/Wire.h
@@ -56,6 +56,9 @@
     {
         if (size > m_rest.size())
             throw cereal::Exception("message is too short");
+        // An empty container has no memory to copy to.
+        if (size == 0)
+            return;
         std::memcpy(data, m_rest.data(), size);
         m_rest.remove_prefix(size);
     }
--- a/test/correctness/FleetProcessTest.cpp
+++ b/test/correctness/FleetProcessTest.cpp
@@ -8,7 +8,7 @@
 using namespace Camphor::Testing;
 
 TEST_CASE("a fleet of processes serves jobs through lost disks and killed holders",
-          "[fleet][process][!mayfail]")
+          "[fleet][process]")
 {
     Fleet fleet;
     StandInInstances instances(2);
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -41,3 +41,13 @@
     CHECK(decodeFrameHeader(header, 7).isOk());
     CHECK_FALSE(decodeFrameHeader(header, 6).isOk());
 }
+
+// Guards against undefined behaviour on messages with empty lists of numbers, such as a job whose
+// step depends on none: the sanitizers end the process that reads one.
+TEST_CASE("an empty list of numbers survives encoding and decoding", "[wire]")
+{
+    const auto decoded =
+        decodeMessage<std::vector<std::uint32_t>>(encodeMessage(std::vector<std::uint32_t>{}));
+    REQUIRE(decoded.isOk());
+    CHECK(decoded.value().empty());
+}
