--- a/src/InstanceFile.h
+++ b/src/InstanceFile.h
@@ -21,7 +21,8 @@
 
     /// The reports that were stored last; none if there is no file yet.
     [[nodiscard]] Result<std::vector<InstanceReport>> read() const;
-    /// Replaces the file. It is durable when the call returns.
+    /// Replaces the file. The new content is synced, the name is not: after a loss of power either
+    /// the former or the new file is there.
     [[nodiscard]] Status write(const std::vector<InstanceReport> &reports) const;
 
 private:
