End the drain of a ledger server when its connections are closed

Cause: LeakSanitizer reported a stream of the ledger's RPC server in about one of fifteen runs of the process test. RpcServer::stop() only posts the closing of each connection; the ledger ended its drain at once, the program stopped the loop, and an open connection and the state of its server kept each other alive.

Change: RpcServer::connections() counts the open ones, a stopped server admits no connection that was being accepted, and the ledger ends its drain once none is left, or after 500 ms. ledger-drained now says what happened: nothing is handed over.

--- a/src/LedgerServer.cpp
+++ b/src/LedgerServer.cpp
@@ -34,6 +34,8 @@
 /// Timeout of a call to another replica. Longer than a slow sync, because the lease and not this
 /// timeout decides whether a replica counts as lost.
 constexpr Milliseconds ReplicaCallTimeout{2'000};
+/// Upper bound on the time to close all connections at the end of a drain.
+constexpr Milliseconds CloseLimit{500};
 /// Bytes of claims copied in one snapshot step, during which calls wait.
 constexpr std::size_t SnapshotStepBytes = std::size_t{512} * 1024;
 
@@ -601,6 +603,20 @@
             client->stop();
         for (const auto &[call, reply] : std::exchange(m_calls, {}))
             reply(Error{ErrorCode::Unavailable, "the ledger is shutting down"});
+        endWhenClosed(m_clock.now() + CloseLimit);
+    }
+
+    /// Ends the drain once all connections are closed, because the caller may stop the loop then.
+    void endWhenClosed(Milliseconds limit)
+    {
+        if (m_server->connections() > 0 && m_clock.now() < limit) {
+            m_timer.expires_after(toChrono(TickInterval));
+            m_timer.async_wait(
+                [self = shared_from_this(), limit](const boost::system::error_code &) {
+                    self->endWhenClosed(limit);
+                });
+            return;
+        }
         const auto onDrained = std::exchange(m_onDrained, nullptr);
         Log::info(LogEvent::LedgerDrained);
         onDrained();
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -138,7 +138,7 @@
     LogEventSpec{LogEvent::LedgerDiverged, "ledger-diverged", "domain detail",
                  "A backup has committed entries that its primary lacks."},
     LogEventSpec{LogEvent::LedgerDrained, "ledger-drained", "",
-                 "A ledger replica has handed over and exits."},
+                 "A ledger replica has replied to all pending calls and exits."},
     LogEventSpec{LogEvent::LedgerDraining, "ledger-draining", "waiting",
                  "A ledger replica starts to drain."},
     LogEventSpec{LogEvent::LedgerMessageRefused, "ledger-message-refused", "peer reason",
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -32,6 +32,7 @@
     RpcHandler handler;
     std::mutex mutex;
     std::set<std::shared_ptr<Peer>> peers;
+    bool isStopped = false;
     std::atomic<std::uint64_t> refused = 0;
 };
 
@@ -174,6 +175,12 @@
 
     void stop() override
     {
+    [[nodiscard]] std::size_t connections() const override
+    {
+        const std::lock_guard lock(m_state->mutex);
+        return m_state->peers.size();
+    }
+
         Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
             ErrorCodeAsio ignored;
             self->m_acceptor.close(ignored);
@@ -184,6 +191,7 @@
             const std::lock_guard lock(m_state->mutex);
             peers = m_state->peers;
         }
+            m_state->isStopped = true;
         for (const auto &peer : peers)
             peer->stop();
     }
@@ -213,6 +221,8 @@
             const std::lock_guard lock(m_state->mutex);
             if (m_state->peers.size() >= m_state->settings.maxConnections) {
                 Log::warning(LogEvent::PeerRefused).kv("reason", "too-many-connections");
+            if (m_state->isStopped)
+                return;
                 m_state->refused.fetch_add(1);
                 return;
             }
--- a/src/RpcServer.h
+++ b/src/RpcServer.h
@@ -6,6 +6,7 @@
 #include "Settings.h"
 #include "Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -54,7 +55,11 @@
     /// Returns the number of connections refused or closed because of invalid input, a hello
     /// timeout or too many connections.
     [[nodiscard]] virtual std::uint64_t refusedPeers() const = 0;
-    /// Stops accepting and closes all connections.
+    /// Returns the number of open connections.
+    [[nodiscard]] virtual std::size_t connections() const = 0;
+    /// Stops accepting and closes all connections. They are closed on the threads of the
+    /// io_context, which has to run until connections() is 0: an open connection and its server
+    /// keep each other alive.
     virtual void stop() = 0;
 };
 
