Stop every copy of a job whose requester has given up

Cause, found by reading, four ways in which a job could run on while its caller had resent it, and so twice: - a job offered to the holder of another cell was cancelled only for callers of the offering entry itself, not when another entry cancelled it or was lost; - contact was counted for each process, so a requester that lost its connection (and answered its callers 'unknown') kept the old jobs alive through a new one; - a cancellation by the first entry of a resent job stopped the job of the second one; - a holder that was paused took messages sent before the pause as contact, and started the lapsed tasks again. Also, at the limit of retained outcomes the newest were dropped, so that a job that had just run was run again for a resubmission.

Change: jobs belong to one connection of a requester, offers that lose their requester are cancelled at the other holder, a pause ends the jobs of other entries, and the oldest outcomes are evicted first. A cancelled job ends its call in place of keeping it open for two minutes.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -351,9 +351,7 @@
         m_link->cancel(pending.address, jobId);
         return;
     }
-    if (const auto offered = m_offeredJobs.find(jobId); offered != m_offeredJobs.end())
-        m_link->cancel(offered->second.address, jobId);
-    m_scheduler.cancel(jobId, m_clock.now());
+    m_scheduler.cancel(jobId, {}, m_clock.now());
     schedule();
 }
 
@@ -362,7 +360,10 @@
 void FleetEntry::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
                        const RpcReply &reply)
 {
-    const auto requester = peer.instance + "/" + std::to_string(peer.incarnation);
+    // A requester that has lost its connection has given up the jobs that it submitted on it, so
+    // its contact on a new connection must not keep them alive.
+    const auto requester = peer.instance + "/" + std::to_string(peer.incarnation) + "/"
+        + std::to_string(peer.connection);
     m_scheduler.onRequesterContact(requester, m_clock.now());
     switch (kind) {
     case MessageKind::Ping:
@@ -371,8 +372,7 @@
         return onSubmit(requester, payload, reply);
     case MessageKind::CancelJob: {
         if (const auto request = decodeMessage<CancelJobRequest>(payload)) {
-            m_scheduler.cancel(request.value().jobId, m_clock.now());
-            m_replies.erase(request.value().jobId);
+            m_scheduler.cancel(request.value().jobId, requester, m_clock.now());
             schedule();
         }
         return reply(std::string());
@@ -424,6 +424,7 @@
         self->m_scheduler.advance(now);
         self->sendOrders();
         self->deliverResults();
+        self->cancelOffers();
         self->makeOffers();
         self->logEvents();
         self->armTimer(now);
@@ -472,6 +473,15 @@
     }
 }
 
+void FleetEntry::cancelOffers()
+{
+    for (const auto &jobId : m_scheduler.takeCancelledOffers()) {
+        const auto offered = m_offeredJobs.extract(jobId);
+        if (!offered.empty() && !offered.mapped().address.empty())
+            m_link->cancel(offered.mapped().address, jobId);
+    }
+}
+
 void FleetEntry::makeOffers()
 {
     for (const auto &job : m_scheduler.takeOffers(m_clock.now())) {
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -127,6 +127,8 @@
     void schedule();
     void sendOrders();
     void deliverResults();
+    /// Stops offered jobs at other holders that have no requester here any more.
+    void cancelOffers();
     void makeOffers();
     void offerNext(const std::string &jobId);
     void onOfferResult(const std::string &jobId,
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -91,6 +91,8 @@
     std::string instance;
     std::uint64_t incarnation = 0; ///< Increases with each restart of the instance.
 
+    /// Number of the connection, set by the server that accepted it; not transmitted.
+    std::uint64_t connection = 0;
     auto operator<=>(const Hello &) const = default;
 
     template <typename Archive>
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -34,6 +34,7 @@
     std::set<std::shared_ptr<Peer>> peers;
     bool isStopped = false;
     std::atomic<std::uint64_t> refused = 0;
+    std::atomic<std::uint64_t> lastConnection = 0;
 };
 
 /// One accepted connection.
@@ -99,6 +100,7 @@
             refuse(Error{ErrorCode::InvalidMessage, "wrong cluster name"});
         } else {
             m_hello = std::move(hello).value();
+            m_hello->connection = m_state->lastConnection.fetch_add(1) + 1;
             m_timer.cancel();
         }
     }
@@ -173,14 +175,14 @@
     [[nodiscard]] std::uint16_t port() const override { return m_port; }
     [[nodiscard]] std::uint64_t refusedPeers() const override { return m_state->refused; }
 
-    void stop() override
-    {
     [[nodiscard]] std::size_t connections() const override
     {
         const std::lock_guard lock(m_state->mutex);
         return m_state->peers.size();
     }
 
+    void stop() override
+    {
         Asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
             ErrorCodeAsio ignored;
             self->m_acceptor.close(ignored);
@@ -189,9 +191,9 @@
         std::set<std::shared_ptr<Peer>> peers;
         {
             const std::lock_guard lock(m_state->mutex);
+            m_state->isStopped = true;
             peers = m_state->peers;
         }
-            m_state->isStopped = true;
         for (const auto &peer : peers)
             peer->stop();
     }
@@ -219,10 +221,10 @@
         std::shared_ptr<Peer> peer;
         {
             const std::lock_guard lock(m_state->mutex);
-            if (m_state->peers.size() >= m_state->settings.maxConnections) {
-                Log::warning(LogEvent::PeerRefused).kv("reason", "too-many-connections");
             if (m_state->isStopped)
                 return;
+            if (m_state->peers.size() >= m_state->settings.maxConnections) {
+                Log::warning(LogEvent::PeerRefused).kv("reason", "too-many-connections");
                 m_state->refused.fetch_add(1);
                 return;
             }
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -145,7 +145,7 @@
 {
     onRequesterContact(requester, now);
     if (const auto it = m_outcomes.find(job.id); it != m_outcomes.end()) {
-        m_results.push_back({job.id, it->second.outcome});
+        m_results.push_back({job.id, it->second});
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "remembered-outcome"});
         return Admission::Accepted;
     }
@@ -180,13 +180,13 @@
     return Admission::Accepted;
 }
 
-void RunScheduler::cancel(const std::string &jobId, Milliseconds now)
+void RunScheduler::cancel(const std::string &jobId, const std::string &requester, Milliseconds now)
 {
     const auto it = m_jobs.find(jobId);
-    if (it == m_jobs.end())
+    if (it == m_jobs.end() || it->second.requester != requester)
         return;
-    abandonRuns(it->second, now);
-    m_jobs.erase(it);
+    // The requester no longer waits for the job, but for the end of its call.
+    finish(jobId, {JobVerdict::Unknown, "cancelled", 0}, now);
 }
 
 void RunScheduler::onRequesterContact(const std::string &requester, Milliseconds now)
@@ -224,6 +224,8 @@
 
 void RunScheduler::abandonRuns(Job &job, Milliseconds now)
 {
+    if (job.isOffered)
+        m_cancelledOffers.push_back(job.job.id);
     for (std::size_t step = 0; step < job.tasks.size(); ++step) {
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             const auto &task = job.tasks[step][index];
@@ -246,11 +248,31 @@
     abandonRuns(node.mapped(), now);
     const bool isFinal =
         outcome.verdict == JobVerdict::Completed || outcome.verdict == JobVerdict::Failed;
-    if (isFinal && m_outcomes.size() < m_settings.maxOutcomes)
-        m_outcomes[jobId] = {outcome, now};
+    if (isFinal)
+        storeOutcome(jobId, outcome, now);
     m_results.push_back({jobId, std::move(outcome)});
 }
 
+void RunScheduler::storeOutcome(const std::string &jobId, const JobOutcome &outcome,
+                                Milliseconds now)
+{
+    if (!m_outcomes.emplace(jobId, outcome).second)
+        return;
+    m_outcomeTimes.emplace_back(now, jobId);
+    evictOutcomes(now);
+}
+
+void RunScheduler::evictOutcomes(Milliseconds now)
+{
+    // At the limit the oldest outcomes go: a resubmission follows its first submission soon.
+    while (!m_outcomeTimes.empty()
+           && (m_outcomes.size() > m_settings.maxOutcomes
+               || now - m_outcomeTimes.front().first > m_settings.outcomeRetention)) {
+        m_outcomes.erase(m_outcomeTimes.front().second);
+        m_outcomeTimes.pop_front();
+    }
+}
+
 // --- Refusals
 
 void RunScheduler::refuseLateJobs(Milliseconds now)
@@ -391,6 +413,27 @@
     }
 }
 
+void RunScheduler::onPause(Milliseconds duration, Milliseconds now)
+{
+    constexpr const char *Reason = "process-stood-still";
+    addEvent({ScheduleEvent::Kind::Stalled, {}, {}, {}, Reason, duration.count()});
+    // Messages that the requesters sent before they gave up may arrive only now, and must not count
+    // as contact: the callers may have resent these jobs to other cells.
+    std::vector<std::string> orphans;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.requester.empty())
+            orphans.push_back(id);
+    }
+    for (const auto &id : orphans) {
+        const auto &job = m_jobs.at(id);
+        const bool mayHaveRun = job.hasStarted || job.isOffered;
+        finish(id,
+               mayHaveRun ? JobOutcome{JobVerdict::Unknown, Reason, 0}
+                          : JobOutcome{JobVerdict::NotRun, Reason, MinRetryMs},
+               now);
+    }
+}
+
 void RunScheduler::restartStalledRuns(Milliseconds now)
 {
     for (auto &[id, instance] : m_instances) {
@@ -411,17 +454,8 @@
         instance.expireLeases(now);
         collectResults(instance, now);
     }
-    if (wasPaused) {
-        // Contacts of requesters could not be received during the pause.
-        for (auto &[requester, lastContactAt] : m_requesters)
-            lastContactAt = now;
-        addEvent({ScheduleEvent::Kind::Stalled,
-                  {},
-                  {},
-                  {},
-                  "process-stood-still",
-                  (now - *m_dueAt).count()});
-    }
+    if (wasPaused)
+        onPause(now - *m_dueAt, now);
     std::vector<std::string> ended;
     for (const auto &[id, instance] : m_instances) {
         if (instance.isOtherIncarnation()
@@ -434,8 +468,7 @@
     restartStalledRuns(now);
     startWaitingJobs(now);
     refuseLateJobs(now);
-    std::erase_if(m_outcomes,
-                  [&](const auto &it) { return now - it.second.at > m_settings.outcomeRetention; });
+    evictOutcomes(now);
     for (auto &[id, instance] : m_instances) {
         std::ranges::move(instance.nextStops(now), std::back_inserter(m_stops));
         if (auto order = instance.nextHold(now))
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -8,6 +8,7 @@
 #include "RunTimeModel.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -87,13 +88,15 @@
 
     // --- Jobs
     /// Accepts a job, joins one with the same id, or repeats a retained outcome.
-    /// @param requester receives the result; must stay in contact while the job runs.
+    /// @param requester receives the result; must stay in contact while the job runs. Empty for a
+    /// job of a caller of this entry.
     /// @param mustStartNow refuse the job unless all its eligible tasks can start at once. Such a
     /// job comes from the holder of another cell and is not offered to further ones.
     Admission submit(const FleetJob &job, const std::string &requester, bool mustStartNow,
                      Milliseconds now);
-    /// The caller has disconnected: stops the runs of the job.
-    void cancel(const std::string &jobId, Milliseconds now);
+    /// The caller has disconnected: ends the job as unknown and stops its runs. Does nothing if
+    /// another requester has submitted the job since.
+    void cancel(const std::string &jobId, const std::string &requester, Milliseconds now);
     void onRequesterContact(const std::string &requester, Milliseconds now);
     /// Returns waiting jobs that another cell might start at once. A rejected offer is repeated
     /// after a delay.
@@ -102,6 +105,12 @@
     void onOfferedJobEnded(const std::string &jobId, const JobOutcome &outcome);
     /// No other cell can start the offered job now, so it may start here again.
     void onOfferRejected(const std::string &jobId, Milliseconds now);
+    /// Returns offered jobs that were cancelled or lost their requester since the last call. The
+    /// cell that has accepted one must stop it.
+    [[nodiscard]] std::vector<std::string> takeCancelledOffers()
+    {
+        return std::exchange(m_cancelledOffers, {});
+    }
 
     // --- Replies of instances
     void onStartReply(const StartOrder &order, const OrderReply &reply, Milliseconds now);
@@ -151,12 +160,6 @@
         std::vector<std::uint32_t> done; ///< Number of finished tasks, by step.
     };
 
-    struct StoredOutcome
-    {
-        JobOutcome outcome;
-        Milliseconds at;
-    };
-
     /// An instance on which tasks of one step can start.
     struct Candidate
     {
@@ -188,6 +191,10 @@
     [[nodiscard]] std::vector<std::string> jobsInStartOrder() const;
     void refuseLateJobs(Milliseconds now);
     void removeLostRequesters(Milliseconds now);
+    /// This process was paused: the requesters have given up meanwhile, and the lists are outdated.
+    void onPause(Milliseconds duration, Milliseconds now);
+    void storeOutcome(const std::string &jobId, const JobOutcome &outcome, Milliseconds now);
+    void evictOutcomes(Milliseconds now);
     void restartStalledRuns(Milliseconds now);
 
     void collectResults(LeasedInstance &instance, Milliseconds now);
@@ -211,7 +218,9 @@
     std::map<std::string, Job> m_jobs;
     /// Virtual time of each queue, in millicore-milliseconds.
     std::map<std::string, double> m_virtualTimes;
-    std::map<std::string, StoredOutcome> m_outcomes;
+    std::map<std::string, JobOutcome> m_outcomes; ///< Retained outcomes, by job.
+    /// When each retained outcome was stored, from the oldest on.
+    std::deque<std::pair<Milliseconds, std::string>> m_outcomeTimes;
     std::map<std::string, Milliseconds> m_requesters; ///< Last contact with each requester.
     std::optional<Milliseconds> m_dueAt; ///< When the next call of advance() was due.
 
@@ -219,6 +228,7 @@
     std::vector<StopOrder> m_stops;
     std::vector<HoldOrder> m_holds;
     std::vector<JobResult> m_results;
+    std::vector<std::string> m_cancelledOffers;
     std::vector<ScheduleEvent> m_events;
 };
 
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -168,6 +168,8 @@
 class FleetSimulation
 {
 public:
+    static constexpr std::size_t AllInstances = 1'000'000;
+
     FleetSimulation(std::size_t instances, const FleetFaults &faults, std::uint64_t seed,
                     SchedulerSettings settings = {})
         : m_faults(faults)
@@ -188,15 +190,16 @@
         }
     }
 
-    /// Makes a new scheduler the holder of all instances.
-    RunScheduler &addHolder(std::uint64_t token, const FleetConfiguration &configuration)
+    /// Makes a new scheduler the holder of all instances, or of those in a range of their numbers.
+    RunScheduler &addHolder(std::uint64_t token, const FleetConfiguration &configuration,
+                            std::size_t first = 0, std::size_t count = AllInstances)
     {
         m_holders.push_back(std::make_unique<RunScheduler>(m_settings));
         auto &holder = *m_holders.back();
         holder.configure(std::make_shared<const FleetConfiguration>(configuration));
         std::map<std::string, std::uint64_t> tokens;
-        for (const auto &[id, report] : m_knownInstances)
-            tokens[id] = token;
+        for (std::size_t n = first; n < std::min(first + count, m_knownInstances.size()); ++n)
+            tokens["worker-" + std::to_string(n)] = token;
         holder.setInstances(m_knownInstances, tokens, Milliseconds{now});
         return holder;
     }
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace Camphor;
 using namespace Camphor::Testing;
 
@@ -122,7 +124,7 @@
     world.run(20);
     (void)holder.submit(makeJob("job", "long", 4, 900), {}, false, Milliseconds{world.now});
     world.run(60);
-    holder.cancel("job", Milliseconds{world.now});
+    holder.cancel("job", {}, Milliseconds{world.now});
     world.run(80);
     for (const auto &[id, instance] : world.instances())
         CHECK(instance.running().empty());
@@ -223,7 +225,8 @@
                                         1 + static_cast<std::uint32_t>(random() % 4), 200),
                                 {}, false, Milliseconds{world.now});
         if (random() % 400 == 0 && serial > 0)
-            holder.cancel("job" + std::to_string(1 + random() % serial), Milliseconds{world.now});
+            holder.cancel("job" + std::to_string(1 + random() % serial), {},
+                          Milliseconds{world.now});
         world.run(world.now + 1);
     }
     world.run(24'000);
@@ -260,3 +263,94 @@
     CHECK(world.doubleRuns == 0);
     REQUIRE(world.outcomes.contains("job"));
 }
+
+TEST_CASE("a job that was offered to another cell is cancelled there too", "[scheduler]")
+{
+    // Guards against a copy that runs on at the other cell after its caller has disconnected or its
+    // requester was lost, when the caller may have resent the job to a third cell.
+    const bool isRequesterLost = GENERATE(true, false);
+    CAPTURE(isRequesterLost);
+    FleetSimulation world(1, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    (void)holder.submit(makeJob("first", "long", 2, 900), "entry/1", false,
+                        Milliseconds{world.now});
+    (void)holder.submit(makeJob("second", "long", 2, 900), "entry/1", false,
+                        Milliseconds{world.now});
+    holder.advance(Milliseconds{world.now});
+    REQUIRE(holder.takeOffers(Milliseconds{world.now}).size() == 1);
+    CHECK(holder.takeCancelledOffers().empty());
+    if (isRequesterLost)
+        holder.advance(Milliseconds{world.now + 400});
+    if (isRequesterLost)
+        holder.advance(Milliseconds{world.now + 800});
+    else
+        holder.cancel("second", "entry/1", Milliseconds{world.now});
+    CHECK(holder.takeCancelledOffers() == std::vector<std::string>{"second"});
+}
+
+TEST_CASE("a late cancellation by an earlier requester does not stop the job", "[scheduler]")
+{
+    // Guards against the first entry of a caller that has resent its job to a second one.
+    FleetSimulation world(6, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    const auto job = makeJob("job", "quick", 4, 60);
+    (void)holder.submit(job, "entry/1", false, Milliseconds{world.now});
+    world.run(30);
+    (void)holder.submit(job, "entry/2", false, Milliseconds{world.now});
+    holder.cancel("job", "entry/1", Milliseconds{world.now});
+    world.run(200);
+    REQUIRE(world.outcomes.contains("job"));
+    CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
+}
+
+TEST_CASE("at the limit of retained outcomes the newest are kept", "[scheduler]")
+{
+    // Guards against a job that runs again when its caller resends it after a lost response.
+    SchedulerSettings settings;
+    settings.maxOutcomes = 2;
+    FleetSimulation world(6, {}, 1, settings);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    for (const auto *id : {"first", "second", "third"}) {
+        (void)holder.submit(makeJob(id, "quick", 2, 60), {}, false, Milliseconds{world.now});
+        world.run(world.now + 100);
+        REQUIRE(world.outcomes.contains(id));
+    }
+    (void)holder.submit(makeJob("third", "quick", 2, 60), {}, false, Milliseconds{world.now});
+    CHECK(holder.jobCount() == 0);
+    REQUIRE(holder.takeResults().size() == 1);
+}
+
+TEST_CASE("a holder that was paused drops the jobs of requesters that have given up",
+          "[scheduler][generated]")
+{
+    // The requester loses the paused holder, its caller resends the job, and another cell runs it.
+    // The messages that the requester sent before it gave up arrive when the holder resumes.
+    const auto pauseMs = GENERATE(600, 1'000, 1'900, 2'400, 4'000);
+    CAPTURE(pauseMs);
+    FleetFaults faults;
+    faults.slowClock = 0.02;
+    FleetSimulation world(6, faults, 1);
+    world.runTime = [](const std::string &) { return 900; };
+    auto &first = world.addHolder(1, makeConfiguration(), 0, 3);
+    auto &second = world.addHolder(1, makeConfiguration(), 3, 3);
+    world.run(30);
+    const auto job = makeJob("job", "long", 4, 900);
+    (void)first.submit(job, "entry/1", false, Milliseconds{world.now});
+    world.run(100);
+    const auto pausedAt = world.now;
+    world.paused.insert(&first);
+    constexpr double ResentAfterMs = 400 + 1'300;
+    bool isResent = false;
+    while (world.now < 8'000) {
+        if (world.now - pausedAt >= pauseMs && world.paused.erase(&first) > 0)
+            first.onRequesterContact("entry/1", Milliseconds{world.now});
+        if (world.now - pausedAt >= ResentAfterMs && !std::exchange(isResent, true))
+            (void)second.submit(job, "entry/2", false, Milliseconds{world.now});
+        second.onRequesterContact("entry/2", Milliseconds{world.now});
+        world.run(world.now + 10);
+    }
+    CHECK(world.doubleRuns == 0);
+}
