Remember that an instance is gone before it was ever known

Cause: an entry that has just started ignored the news that an unknown instance is gone. A control instance that restarted with an older list on its disk could then pass it on as ready.

Change: the view keeps a tombstone for it, evicted like the others.

Result: the new test fails without the change and passes with it.

--- a/src/InstanceDirectory.cpp
+++ b/src/InstanceDirectory.cpp
@@ -99,10 +99,11 @@
     const auto it = m_instances.find(report.key.id);
     const bool isGone = report.state == InstanceState::Gone;
     if (it == m_instances.end()) {
+        // A member that was down or partitioned may pass on an older report of a gone instance.
         if (isGone)
-            return false;
+            m_goneSince[report.key.id] = now;
         m_instances.emplace(report.key.id, report);
-        return true;
+        return !isGone;
     }
     const bool isNewer = orderKey(report) > orderKey(it->second)
         || (orderKey(report) == orderKey(it->second) && report.state > it->second.state);
--- a/test/correctness/InstanceDirectoryTest.cpp
+++ b/test/correctness/InstanceDirectoryTest.cpp
@@ -113,6 +113,20 @@
     CHECK(view.instances().at("worker-1").state == InstanceState::Ready);
 }
 
+TEST_CASE("a gone instance is not revived by a member that restarted with an older report",
+          "[directory]")
+{
+    // Guards against an entry that has just started, hears first that the instance left and then
+    // the report that the other member has restored from its disk.
+    InstanceView view;
+    const auto gone = withState(makeReport(9), InstanceState::Gone);
+    CHECK_FALSE(view.merge(gone, Milliseconds{0}));
+    CHECK_FALSE(view.merge(makeReport(7), Milliseconds{10}));
+    CHECK(view.instances().at("worker-1").state == InstanceState::Gone);
+    CHECK(view.merge(makeReport(1, 2'000), Milliseconds{20})); // A later incarnation.
+    CHECK(view.instances().at("worker-1").state == InstanceState::Ready);
+}
+
 TEST_CASE("a view evicts instances that have been gone for long, and only those", "[directory]")
 {
     // Guards against a view that grows with every instance that is ever replaced.
