Hear an entry again that restarts after its time of day went back

Cause: a control instance refused every contact of an entry whose incarnation, the time of day at its start, was lower than the last one. After a jump back of the time of day a restarted entry was locked out until its clock had caught up. Contacts of replaced entries were never removed.

--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -287,13 +287,13 @@
         return;
     const auto now = m_clock.now();
     const auto &entry = request->entry;
-    auto &contact = m_entries[entry.name];
-    // A delayed request may come from an earlier process of the entry.
-    if (entry.incarnation < contact.entry.incarnation) {
-        reply(Error{ErrorCode::Conflict, "a later incarnation of this entry is known"});
+    const auto change = m_entries.update(
+        {entry, now, request->reachableHolders, request->isLeaving, request->instances});
+    if (change == EntryContacts::Change::Superseded) {
+        reply(Error{ErrorCode::Conflict, "a later incarnation of this entry is in contact"});
         return;
     }
-    if (contact.entry != entry)
+    if (change == EntryContacts::Change::NewProcess)
         Log::info(LogEvent::EntryHeard)
             .kv("entry", entry.name)
             .kv("incarnation", entry.incarnation);
@@ -497,6 +497,7 @@
 }
 
 void FleetControl::runLeaderDuties()
+    m_entries.evictSilent(m_clock.now());
 {
     const auto now = m_clock.now();
     const bool isLeader = m_node->isLeader();
@@ -535,8 +536,9 @@
 
 void FleetControl::grantCells(Milliseconds now)
 {
-    const auto commands = dueGrants(m_settings.domains, m_entries, m_node->state().grants(),
-                                    m_leaderSince, now, m_settings.assignment);
+    const auto commands =
+        dueGrants(m_settings.domains, m_entries.entries(), m_node->state().grants(), m_leaderSince,
+                  now, m_settings.assignment);
     m_grantsInFlight = commands.size();
     for (const auto &command : commands) {
         Log::info(LogEvent::CellGrant)
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -4,6 +4,8 @@
 
 #include "CellAssignment.h"
 #include "ControlNode.h"
+#include "DocumentHistory.h"
+#include "EntryContacts.h"
 #include "FleetMetrics.h"
 #include "FleetProtocol.h"
 #include "GroupMembership.h"
@@ -131,7 +133,7 @@
     std::list<Watcher> m_watchers;
 
     std::vector<Address> m_seeds; ///< The seeds that the settings name now.
-    std::map<std::string, EntryContact> m_entries;
+    EntryContacts m_entries;
     std::map<std::string, MemberCandidate> m_candidates;
     /// RPC addresses that another member named, with the time. They are only contacted and never
     /// passed on, because members would otherwise pass the address of a replaced machine to each
