Send entries the decoded configuration in place of the operator's text

Change: the member that validates a configuration stores the decoded queues beside the text; entries fetch and decode only these, without the adapter. The stored command has a new letter, so that a log of an earlier build is refused with a clear error.

--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -34,10 +34,17 @@
 /// once.
 constexpr int MaxConsecutiveTimeouts = 3;
 
+/// The first byte of an encoded command. 'D' was a stored document without its content.
+char letterOf(const ControlCommand &command)
+{
+    constexpr std::string_view Letters = "ABCFE";
+    return Letters.at(command.index());
+}
+
 std::string encodeCommand(const ControlCommand &command)
 {
-    const auto kind = static_cast<char>('A' + command.index());
-    return kind + std::visit([](const auto &it) { return encodeMessage(it); }, command);
+    return letterOf(command)
+        + std::visit([](const auto &it) { return encodeMessage(it); }, command);
 }
 
 template <typename T>
@@ -57,7 +64,7 @@
         return applyAs<CompareAndSetCommand>(state, body);
     case 'C':
         return applyAs<MoveBucketCommand>(state, body);
-    case 'D':
+    case 'F':
         return applyAs<StoreDocumentCommand>(state, body);
     case 'E':
         return applyAs<GrantCellCommand>(state, body);
--- a/src/ControlState.cpp
+++ b/src/ControlState.cpp
@@ -24,16 +24,15 @@
     std::vector<ReplicaSet> replicaSets;
     std::vector<BucketHome> buckets;
     std::vector<std::string> declaredDomains;
-    std::uint64_t documentVersion = 0;
-    std::string documentText;
+    StoredDocument document;
     std::vector<CellGrant> grants;
     std::uint64_t lastToken = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(history, recentRequests, domains, replicaSets, buckets, declaredDomains,
-                documentVersion, documentText, grants, lastToken);
+        archive(history, recentRequests, domains, replicaSets, buckets, declaredDomains, document,
+                grants, lastToken);
     }
 };
 
@@ -255,8 +254,8 @@
 {
     // A version that is not higher is a retry or was superseded by a newer one; its writer has
     // nothing left to do.
-    if (command.version > m_document.version)
-        m_document = {command.version, command.text};
+    if (command.document.version > m_document.version)
+        m_document = command.document;
     return {ControlOutcome::Accepted, m_document.version};
 }
 
@@ -289,8 +288,7 @@
     }
     stored.buckets = m_buckets;
     stored.declaredDomains.assign(m_declaredDomains.begin(), m_declaredDomains.end());
-    stored.documentVersion = m_document.version;
-    stored.documentText = m_document.text;
+    stored.document = m_document;
     for (const auto &[domain, grant] : m_grants)
         stored.grants.push_back(grant);
     stored.lastToken = m_lastToken;
@@ -326,7 +324,7 @@
         state.m_replicaSets[stored.domains[n]] = stored.replicaSets[n];
     state.m_buckets = std::move(stored.buckets);
     state.m_declaredDomains.insert(stored.declaredDomains.begin(), stored.declaredDomains.end());
-    state.m_document = {stored.documentVersion, std::move(stored.documentText)};
+    state.m_document = std::move(stored.document);
     for (auto &grant : stored.grants)
         state.m_grants[grant.name()] = grant;
     state.m_lastToken = stored.lastToken;
--- a/src/ControlState.h
+++ b/src/ControlState.h
@@ -148,16 +148,31 @@
     }
 };
 
-/// Stores a configuration whose version was chosen by its writer; the highest version wins.
+/// A configuration whose version was chosen by its writer.
+struct StoredDocument
+{
+    std::uint64_t version = 0; ///< 0 for none.
+    std::string text; ///< As the operator sent it, for reads.
+    std::string content; ///< The encoded configuration, for entries.
+
+    auto operator<=>(const StoredDocument &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, text, content);
+    }
+};
+
+/// Stores a configuration; the highest version wins.
 struct StoreDocumentCommand
 {
-    std::uint64_t version = 0;
-    std::string text;
+    StoredDocument document;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(version, text);
+        archive(document);
     }
 };
 
@@ -242,7 +257,7 @@
     [[nodiscard]] const std::vector<BucketHome> &buckets() const { return m_buckets; }
 
     /// The stored configuration with the highest version; version 0 while there is none.
-    [[nodiscard]] const VersionedDeclaration &document() const { return m_document; }
+    [[nodiscard]] const StoredDocument &document() const { return m_document; }
     /// The current grants, by cell name.
     [[nodiscard]] const std::map<std::string, CellGrant> &grants() const { return m_grants; }
     /// The fencing token of the newest grant.
@@ -289,7 +304,7 @@
     std::uint64_t m_firstRequestNumber = 0; ///< Sequence number of m_recentRequests.front().
     std::map<std::string, ReplicaSet> m_replicaSets;
     std::vector<BucketHome> m_buckets;
-    VersionedDeclaration m_document;
+    StoredDocument m_document;
     std::map<std::string, CellGrant> m_grants;
     std::uint64_t m_lastToken = 0;
     std::set<std::string> m_declaredDomains; ///< Failure domains that the current version declares.
--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -171,13 +171,13 @@
     if (reply.baseVersion != 0) {
         if (reply.baseVersion != m_view.documentVersion)
             return false;
-        auto text = applyDelta(m_view.documentText, reply.delta);
-        if (!text)
+        auto content = applyDelta(m_view.documentContent, reply.delta);
+        if (!content)
             return false;
-        reply.text = std::move(text).value();
+        reply.content = std::move(content).value();
     }
     m_view.documentVersion = reply.version;
-    m_view.documentText = std::move(reply.text);
+    m_view.documentContent = std::move(reply.content);
     return true;
 }
 
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -25,7 +25,7 @@
 struct FleetView
 {
     std::uint64_t documentVersion = 0;
-    std::string documentText;
+    std::string documentContent; ///< The encoded configuration.
     std::map<std::string, CellGrant> grants; ///< By cell name.
     InstanceView instances;
 };
@@ -45,7 +45,7 @@
     /// to listen a little later than entries.
     Milliseconds startRetryDelay{50};
     /// A member that has not sent the configuration within this time is not waited for any longer.
-    /// Doubles with each failure in a row, because a large text takes long over a slow link.
+    /// Doubles with each failure in a row, because a large one takes long over a slow link.
     Milliseconds fetchTimeout{700};
     /// An address that does not reply and that no member has named for this long was replaced.
     Milliseconds addressRetention{60'000};
--- a/src/DocumentHistory.cpp
+++ b/src/DocumentHistory.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Retained documents. Entries that hold an older one receive the whole text.
+/// Retained documents. Entries that hold an older one receive the whole content.
 constexpr std::size_t MaxDocuments = 5;
 
 std::size_t bytesOf(const TextDelta &delta)
@@ -20,11 +20,11 @@
 
 } // namespace
 
-void DocumentHistory::add(std::uint64_t version, const std::string &text)
+void DocumentHistory::add(std::uint64_t version, const std::string &content)
 {
     if (!m_documents.empty() && version <= m_documents.back().version)
         return;
-    m_documents.push_back({version, text});
+    m_documents.push_back({version, content});
     m_replies.clear();
     if (m_documents.size() > MaxDocuments)
         m_documents.pop_front();
@@ -44,12 +44,12 @@
     reply.version = newest.version;
     if (held != m_documents.end()) {
         reply.baseVersion = baseVersion;
-        reply.delta = makeDelta(held->text, newest.text);
+        reply.delta = makeDelta(held->content, newest.content);
     }
-    if (held == m_documents.end() || bytesOf(reply.delta) >= newest.text.size()) {
+    if (held == m_documents.end() || bytesOf(reply.delta) >= newest.content.size()) {
         reply.baseVersion = 0;
         reply.delta = {};
-        reply.text = newest.text;
+        reply.content = newest.content;
     }
     return reply;
 }
--- a/src/DocumentHistory.h
+++ b/src/DocumentHistory.h
@@ -16,7 +16,7 @@
 {
 public:
     /// Adds a document if its version is higher than that of the newest one.
-    void add(std::uint64_t version, const std::string &text);
+    void add(std::uint64_t version, const std::string &content);
     /// The reply that brings an entry from the version that it holds to the newest one.
     [[nodiscard]] FetchDocumentReply replyTo(const FetchDocumentRequest &request);
 
@@ -24,7 +24,7 @@
     struct Document
     {
         std::uint64_t version = 0;
-        std::string text;
+        std::string content;
     };
 
     std::deque<Document> m_documents; ///< Oldest first.
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -141,7 +141,7 @@
         if (!self)
             return;
         const auto &document = self->m_node->state().document();
-        self->m_documents.add(document.version, document.text);
+        self->m_documents.add(document.version, document.content);
         self->replyToWatchers(false);
         // A new leader replaces holders as soon as it has applied the existing grants.
         if (self->m_node->isLeader() || self->m_wasLeader)
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -56,7 +56,9 @@
     /// Stores a validated configuration; calls back when it is on a majority of disks. A follower
     /// forwards the request to the leader: a redirect would cost the operator a second response
     /// that can be lost.
-    void storeDocument(std::uint64_t version, std::string text, OperatorCallback callback);
+    /// @param text of the configuration as the operator sent it.
+    void storeDocument(const FleetConfiguration &configuration, std::string text,
+                       OperatorCallback callback);
     /// Reads the newest configuration, confirmed by a majority.
     void readDocument(OperatorCallback callback);
     /// Replaces the addresses at which to find the group. The founders do not change.
@@ -114,7 +116,7 @@
     void onRead(const RpcReply &reply);
     /// Forwards an operator's request to the leader.
     void forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback);
-    void storeAsLeader(StoreDocumentRequest request, OperatorCallback callback);
+    void storeAsLeader(StoredDocument document, OperatorCallback callback);
     void readAsLeader(OperatorCallback callback);
 
     boost::asio::io_context &m_io;
--- a/src/FleetControlOperator.cpp
+++ b/src/FleetControlOperator.cpp
@@ -48,10 +48,10 @@
                          });
 }
 
-void FleetControl::storeAsLeader(StoreDocumentRequest request, OperatorCallback callback)
+void FleetControl::storeAsLeader(StoredDocument document, OperatorCallback callback)
 {
-    const auto version = request.version;
-    m_node->propose(StoreDocumentCommand{version, std::move(request.text)},
+    const auto version = document.version;
+    m_node->propose(StoreDocumentCommand{std::move(document)},
                     [self = shared_from_this(), version, since = m_clock.now(),
                      callback = std::move(callback)](const std::optional<ControlReply> &reply) {
                         const auto *stored =
@@ -75,23 +75,24 @@
     });
 }
 
-void FleetControl::storeDocument(std::uint64_t version, std::string text, OperatorCallback callback)
+void FleetControl::storeDocument(const FleetConfiguration &configuration, std::string text,
+                                 OperatorCallback callback)
 {
+    StoredDocument document{configuration.version, std::move(text), encodeMessage(configuration)};
     Asio::dispatch(m_node->strand(),
-                   [self = shared_from_this(), version, text = std::move(text),
+                   [self = shared_from_this(), document = std::move(document),
                     callback = std::move(callback)]() mutable {
                        // What is applied is on a majority of disks, so this change is stored or was
                        // superseded.
-                       if (version <= self->m_node->state().document().version) {
+                       if (document.version <= self->m_node->state().document().version) {
                            callback({true, 0, {}});
                            return;
                        }
-                       StoreDocumentRequest request{version, std::move(text)};
                        if (self->m_node->isLeader())
-                           self->storeAsLeader(std::move(request), std::move(callback));
+                           self->storeAsLeader(std::move(document), std::move(callback));
                        else
-                           self->forwardToLeader(MessageKind::StoreDocument, encodeMessage(request),
-                                                 std::move(callback));
+                           self->forwardToLeader(MessageKind::StoreDocument,
+                                                 encodeMessage(document), std::move(callback));
                    });
 }
 
@@ -108,7 +109,7 @@
 
 void FleetControl::onStore(const std::string &payload, const RpcReply &reply)
 {
-    auto request = decodeOrReject<StoreDocumentRequest>(payload, reply);
+    auto request = decodeOrReject<StoredDocument>(payload, reply);
     if (!request)
         return;
     if (!m_node->isLeader()) {
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -57,11 +57,10 @@
 } // namespace
 
 FleetEntry::FleetEntry(boost::asio::io_context &io, FleetEntrySettings settings,
-                       std::shared_ptr<InstanceClient> instances, ConfigurationReader reader)
+                       std::shared_ptr<InstanceClient> instances)
     : m_io(io)
     , m_settings(std::move(settings))
     , m_instances(std::move(instances))
-    , m_readConfiguration(std::move(reader))
     , m_timer(io)
     , m_graceTimer(io)
     , m_scheduler(m_settings.scheduler)
@@ -70,11 +69,9 @@
 
 Result<std::shared_ptr<FleetEntry>> FleetEntry::make(boost::asio::io_context &io,
                                                      const FleetEntrySettings &settings,
-                                                     std::shared_ptr<InstanceClient> instances,
-                                                     ConfigurationReader reader)
+                                                     std::shared_ptr<InstanceClient> instances)
 {
-    std::shared_ptr<FleetEntry> entry(
-        new FleetEntry(io, settings, std::move(instances), std::move(reader)));
+    std::shared_ptr<FleetEntry> entry(new FleetEntry(io, settings, std::move(instances)));
     if (const auto status = entry->open(); !status)
         return status.error();
     return entry;
@@ -116,25 +113,30 @@
     return okStatus();
 }
 
-void FleetEntry::onViewChanged()
+void FleetEntry::readConfiguration()
 {
     const auto &view = m_watch->view();
     const bool isNewer = !m_configuration || view.documentVersion > m_configuration->version;
-    if (isNewer && view.documentVersion > 0) {
-        auto configuration = m_readConfiguration(view.documentText, view.documentVersion);
-        if (configuration) {
-            m_configuration =
-                std::make_shared<const FleetConfiguration>(std::move(configuration).value());
-            m_scheduler.configure(m_configuration);
-            Log::info(LogEvent::ConfigurationInForce)
-                .kv("version", m_configuration->version)
-                .kv("queues", m_configuration->queues.size());
-        } else {
-            Log::error(LogEvent::ConfigurationUnreadable)
-                .kv("version", view.documentVersion)
-                .kv("reason", configuration.error().message);
-        }
+    if (!isNewer || view.documentVersion == 0)
+        return;
+    auto configuration = decodeMessage<FleetConfiguration>(view.documentContent);
+    if (!configuration) {
+        Log::error(LogEvent::ConfigurationUnreadable)
+            .kv("version", view.documentVersion)
+            .kv("reason", configuration.error().message);
+        return;
     }
+    m_configuration = std::make_shared<const FleetConfiguration>(std::move(configuration).value());
+    m_scheduler.configure(m_configuration);
+    Log::info(LogEvent::ConfigurationInForce)
+        .kv("version", m_configuration->version)
+        .kv("queues", m_configuration->queues.size());
+}
+
+void FleetEntry::onViewChanged()
+{
+    const auto &view = m_watch->view();
+    readConfiguration();
     m_cells = CellMap(view.grants);
     m_heldCells.clear();
     for (const auto &[domain, cells] : m_cells.domains()) {
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -40,10 +40,6 @@
     Milliseconds rerouteDelay{30};
 };
 
-/// Parses a configuration. Implemented by the adapter that also validated it.
-using ConfigurationReader =
-    std::function<Result<FleetConfiguration>(const std::string &text, std::uint64_t version)>;
-
 /// All calls must come from the thread of the io_context.
 class FleetEntry : public std::enable_shared_from_this<FleetEntry>
 {
@@ -52,7 +48,7 @@
 
     [[nodiscard]] static Result<std::shared_ptr<FleetEntry>>
     make(boost::asio::io_context &io, const FleetEntrySettings &settings,
-         std::shared_ptr<InstanceClient> instances, ConfigurationReader reader);
+         std::shared_ptr<InstanceClient> instances);
 
     /// The configuration in force, or null while none is known.
     [[nodiscard]] const FleetConfiguration *configuration() const { return m_configuration.get(); }
@@ -102,10 +98,11 @@
     };
 
     FleetEntry(boost::asio::io_context &io, FleetEntrySettings settings,
-               std::shared_ptr<InstanceClient> instances, ConfigurationReader reader);
+               std::shared_ptr<InstanceClient> instances);
 
     Status open();
     void onViewChanged();
+    void readConfiguration();
     [[nodiscard]] bool isHolder() const { return !m_heldCells.empty(); }
     [[nodiscard]] bool isOwn(const CellGrant &grant) const;
     /// The next holder to try: cells of the own domain in turn, then those of others.
@@ -140,7 +137,6 @@
     boost::asio::io_context &m_io;
     FleetEntrySettings m_settings;
     std::shared_ptr<InstanceClient> m_instances;
-    ConfigurationReader m_readConfiguration;
     SteadyClock m_clock;
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::shared_ptr<ControlWatch> m_watch;
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -57,7 +57,7 @@
     std::uint64_t directoryEpoch = 0;
     std::uint64_t directoryRevision = 0;
     std::vector<InstanceReport> instances; ///< Instances that changed.
-    std::uint64_t documentVersion = 0; ///< The text is fetched by FetchDocumentRequest.
+    std::uint64_t documentVersion = 0; ///< Fetched by FetchDocumentRequest.
     std::vector<CellGrant> grants;
     std::vector<std::string> controlAddresses; ///< RPC addresses of members and candidates.
     bool isLeader = false;
@@ -70,11 +70,11 @@
     }
 };
 
-/// Asks a control instance for the newest configuration. An entry asks one member only: the text
-/// can be large, and all members announce a new version at about the same time.
+/// Asks a control instance for the newest configuration. An entry asks one member only: it can be
+/// large, and all members announce a new version at about the same time.
 struct FetchDocumentRequest
 {
-    std::uint64_t heldVersion = 0; ///< Version whose text the entry holds; 0 for none.
+    std::uint64_t heldVersion = 0; ///< Version that the entry holds; 0 for none.
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -86,16 +86,16 @@
 struct FetchDocumentReply
 {
     std::uint64_t version = 0; ///< 0 if this member has no newer version.
-    std::uint64_t baseVersion = 0; ///< Version that the delta applies to; 0 for a whole text.
+    std::uint64_t baseVersion = 0; ///< Version that the delta applies to; 0 for whole content.
     TextDelta delta;
-    std::string text; ///< Set if baseVersion is 0.
+    std::string content; ///< The encoded configuration; set if baseVersion is 0.
 
     auto operator<=>(const FetchDocumentReply &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(version, baseVersion, delta, text);
+        archive(version, baseVersion, delta, content);
     }
 };
 
@@ -128,19 +128,6 @@
     }
 };
 
-/// Forwards a validated configuration to the leader. The reply is an OperatorResponse.
-struct StoreDocumentRequest
-{
-    std::uint64_t version = 0;
-    std::string text;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(version, text);
-    }
-};
-
 /// The group's response to an operator's change or read.
 struct OperatorResponse
 {
--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -123,9 +123,16 @@
     std::uint32_t priority = 0; ///< 0 is the highest priority.
 
     auto operator<=>(const QueueRule &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, host, pathPrefix, service, timeoutMs, targetMs, stretch, maxAttempts,
+                priority);
+    }
 };
 
-/// The configuration in force, read from the text of one version.
+/// The configuration of one version, read from an operator's text.
 struct FleetConfiguration
 {
     std::uint64_t version = 0;
@@ -136,6 +143,12 @@
     /// The queue whose host matches and whose path prefix is the longest that the path begins with.
     [[nodiscard]] const QueueRule *route(std::string_view host, std::string_view path) const;
     [[nodiscard]] const QueueRule *find(std::string_view name) const;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, queues);
+    }
 };
 
 /// One step of a job: equal tasks that may run at the same time.
--- a/test/correctness/ControlWatchTest.cpp
+++ b/test/correctness/ControlWatchTest.cpp
@@ -114,7 +114,7 @@
             poll();
             return watch->view().documentVersion == version;
         }));
-        CHECK(watch->view().documentText == text);
+        CHECK(watch->view().documentContent == text);
         REQUIRE(waitUntil([&] {
             poll();
             return first.waiting.size() + second.waiting.size() == 2;
--- a/test/correctness/DocumentHistoryTest.cpp
+++ b/test/correctness/DocumentHistoryTest.cpp
@@ -23,7 +23,7 @@
 /// What an entry that holds a text has after the reply.
 std::string applied(const std::string &held, const FetchDocumentReply &reply)
 {
-    return reply.baseVersion == 0 ? reply.text : applyDelta(held, reply.delta).value();
+    return reply.baseVersion == 0 ? reply.content : applyDelta(held, reply.delta).value();
 }
 
 } // namespace
@@ -52,7 +52,7 @@
         const auto reply = history.replyTo({held});
         CHECK(reply.version == 20);
         CHECK(reply.baseVersion == 0);
-        CHECK(reply.text == std::string(1'000, static_cast<char>('a' + 20)));
+        CHECK(reply.content == std::string(1'000, static_cast<char>('a' + 20)));
     }
     CHECK(history.replyTo({20}).version == 0);
     CHECK(history.replyTo({21}).version == 0);
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -22,7 +22,7 @@
     void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
 };
 
-Result<FleetConfiguration> readConfiguration(const std::string &, std::uint64_t version)
+std::string encodedConfiguration(std::uint64_t version)
 {
     FleetConfiguration configuration;
     configuration.version = version;
@@ -30,7 +30,7 @@
     queue.name = "queue";
     queue.service = "service";
     configuration.queues.push_back(queue);
-    return configuration;
+    return encodeMessage(configuration);
 }
 
 /// An entry, and a control instance that can be started later.
@@ -43,8 +43,7 @@
         settings.seeds = {control.toString()};
         settings.startGrace = startGrace;
         settings.rerouteDelay = Milliseconds{5};
-        entry = FleetEntry::make(io, settings, std::make_shared<NoInstances>(), readConfiguration)
-                    .value();
+        entry = FleetEntry::make(io, settings, std::make_shared<NoInstances>()).value();
     }
 
     ~World()
@@ -69,7 +68,10 @@
                                           const RpcReply &reply) {
                                      if (kind == MessageKind::FetchDocument)
                                          reply(encodeMessage(FetchDocumentReply{
-                                             update.documentVersion, 0, {}, "text"}));
+                                             update.documentVersion,
+                                             0,
+                                             {},
+                                             encodedConfiguration(update.documentVersion)}));
                                      else
                                          reply(encodeMessage(update));
                                  })
