Divide a domain when the number of its instances has settled

The first division was made 2.5 s after the election, when little more than half of the instances had reported, and a domain is divided again only when it has doubled.

Change: a first division also waits until the number of instances has not changed for longer than a heartbeat interval, at most 7 s.

--- a/src/CellAssignment.cpp
+++ b/src/CellAssignment.cpp
@@ -51,15 +51,35 @@
         return !contact.isLeaving && m_now - contact.lastContactAt <= m_settings.holderTimeout;
     }
 
-    /// The current number of cells, or a new one if the domain has outgrown it.
-    [[nodiscard]] std::uint32_t cellCount(const std::string &domain) const
+    /// The entry of a domain that knows the most instances, or null if there is no entry.
+    [[nodiscard]] const EntryContact *bestInformed(const std::string &domain) const
     {
-        std::uint32_t instances = 0;
+        const EntryContact *best = nullptr;
         for (const auto &[name, contact] : m_contacts) {
-            if (contact.entry.domain == domain)
-                instances = std::max(instances, contact.instances);
+            if (contact.entry.domain == domain
+                && (best == nullptr || contact.instances > best->instances))
+                best = &contact;
         }
-        const auto targetCount = cellCountFor(instances);
+        return best;
+    }
+
+    /// Whether a domain may be divided for the first time.
+    [[nodiscard]] bool hasSettled(const std::string &domain) const
+    {
+        const auto leaderAge = m_now - m_leaderSince;
+        if (leaderAge < m_settings.firstGrantDelay)
+            return false;
+        const auto *informed = bestInformed(domain);
+        const bool isStable = informed != nullptr
+            && m_now - informed->instancesSince >= m_settings.instanceSettleTime;
+        return isStable || leaderAge >= m_settings.maxFirstGrantDelay;
+    }
+
+    /// The current number of cells, or a new one if the domain has outgrown it.
+    [[nodiscard]] std::uint32_t cellCount(const std::string &domain) const
+    {
+        const auto *informed = bestInformed(domain);
+        const auto targetCount = cellCountFor(informed == nullptr ? 0 : informed->instances);
         const auto &domainCells = m_cells.cells(domain);
         if (domainCells.empty())
             return targetCount;
@@ -72,7 +92,7 @@
     {
         const auto leaderAge = m_now - m_leaderSince;
         if (current.token == 0)
-            return leaderAge >= m_settings.firstGrantDelay;
+            return hasSettled(current.domain);
         const auto holder = m_contacts.find(current.holder);
         const bool isKnown = holder != m_contacts.end();
         // A holder that has restarted has lost the state of its cells.
--- a/src/CellAssignment.h
+++ b/src/CellAssignment.h
@@ -21,6 +21,7 @@
     std::vector<std::string> reachableHolders;
     bool isLeaving = false;
     std::uint32_t instances = 0; ///< Number of known instances in its domain.
+    Milliseconds instancesSince; ///< Since when this number has not changed.
 };
 
 struct CellAssignmentSettings
@@ -32,6 +33,12 @@
     Milliseconds newLeaderGrace{1'500};
     /// Time for instances to report before a domain is first divided into cells.
     Milliseconds firstGrantDelay{2'500};
+    /// A first division also waits until the number of instances has not changed for this long,
+    /// because a domain is divided again only when it has doubled. Longer than a heartbeat
+    /// interval.
+    Milliseconds instanceSettleTime{1'700};
+    /// Upper bound on the wait for a first division.
+    Milliseconds maxFirstGrantDelay{7'000};
     /// A domain whose own entries are all unreachable is probably partitioned and continues by
     /// itself; entries of other domains take over only after this time.
     Milliseconds foreignTakeoverDelay{10'000};
--- a/src/EntryContacts.cpp
+++ b/src/EntryContacts.cpp
@@ -22,7 +22,10 @@
     if (isInContact && contact.entry.incarnation < known.entry.incarnation)
         return Change::Superseded;
     const bool isSameProcess = known.entry == contact.entry;
+    const auto instancesSince =
+        known.instances == contact.instances ? known.instancesSince : contact.lastContactAt;
     known = contact;
+    known.instancesSince = instancesSince;
     return isSameProcess ? Change::None : Change::NewProcess;
 }
 
--- a/test/correctness/CellAssignmentTest.cpp
+++ b/test/correctness/CellAssignmentTest.cpp
@@ -21,7 +21,8 @@
     void recordContact(const std::string &name, const std::string &domain,
                        std::uint64_t incarnation = 1, std::uint32_t instances = 10)
     {
-        contacts[name] = {{name, domain, "127.0.0.1:1", incarnation}, now, {}, false, instances};
+        contacts[name] = {
+            {name, domain, "127.0.0.1:1", incarnation}, now, {}, false, instances, Milliseconds{0}};
     }
 
     [[nodiscard]] std::optional<GrantCellCommand> next() const
@@ -72,6 +73,27 @@
     CHECK(world.next());
 }
 
+TEST_CASE("a first division waits until the number of instances has settled", "[cells]")
+{
+    // Guards against cells that are almost twice as large as one entry can serve, for good: the
+    // first division was made when little more than half of the instances had reported.
+    World world;
+    const auto divideAt = [&](double ms, std::uint32_t instances, double changedAt) {
+        world.now = Milliseconds{ms};
+        world.recordContact("n1", "north", 1, instances);
+        world.contacts.at("n1").instancesSince = Milliseconds{changedAt};
+        world.recordContact("n2", "north", 1, 0); // An entry that knows none yet.
+        return world.next();
+    };
+    CHECK_FALSE(divideAt(2'600, 60, 2'500));
+    CHECK_FALSE(divideAt(4'000, 100, 3'900));
+    const auto settled = divideAt(6'000, 108, 4'200);
+    REQUIRE(settled);
+    CHECK(settled->next.cellCount == cellCountFor(108));
+    // Instances that come and go all the time do not keep a domain without holders.
+    CHECK(divideAt(7'100, 109, 7'000));
+}
+
 TEST_CASE("when a holder is replaced", "[cells]")
 {
     World world;
--- a/test/correctness/EntryContactsTest.cpp
+++ b/test/correctness/EntryContactsTest.cpp
@@ -9,9 +9,10 @@
 
 using Change = EntryContacts::Change;
 
-EntryContact contactAt(double ms, std::uint64_t incarnation)
+EntryContact contactAt(double ms, std::uint64_t incarnation, std::uint32_t instances = 0)
 {
-    return {{"entry", "north", "127.0.0.1:1", incarnation}, Milliseconds{ms}, {}, false, 0};
+    const Milliseconds at{ms};
+    return {{"entry", "north", "127.0.0.1:1", incarnation}, at, {}, false, instances, at};
 }
 
 } // namespace
@@ -38,6 +39,18 @@
     CHECK(contacts.entries().at("entry").entry.incarnation == 7'000);
 }
 
+TEST_CASE("a contact tells since when the number of instances has not changed", "[control]")
+{
+    EntryContacts contacts;
+    const auto since = [&] { return contacts.entries().at("entry").instancesSince; };
+    (void)contacts.update(contactAt(0, 1, 5));
+    (void)contacts.update(contactAt(300, 1, 5));
+    CHECK(since() == Milliseconds{0});
+    (void)contacts.update(contactAt(600, 1, 6));
+    (void)contacts.update(contactAt(900, 1, 6));
+    CHECK(since() == Milliseconds{600});
+}
+
 TEST_CASE("entries that were replaced are evicted, others stay", "[control]")
 {
     EntryContacts contacts;
