--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "AsioSupport.h"
 #include "Log.h"
+#include "RpcDecode.h"
 #include "Wire.h"
 
 #include <boost/asio/post.hpp>
@@ -16,7 +17,6 @@
 constexpr std::uint32_t NoHolderRetryMs = 1'000;
 /// Reasons after which another holder is tried.
 constexpr const char *NotHolderReason = "not-holder";
-constexpr const char *NoRoomNowReason = "no-room-now";
 /// Interval at which a leaving entry checks whether its runs have ended.
 constexpr Milliseconds LeavePeriod{50};
 /// Time for the control group to learn that this entry leaves.
@@ -96,6 +96,12 @@
         return server.error();
     m_rpc = std::move(server).value();
     m_link = std::make_shared<HolderLink>(m_io, rpc, m_settings.link);
+    HolderChoice &choice = *this;
+    m_offers = std::make_shared<RunOfferClient>(m_scheduler, m_link, choice, m_settings.maxOffers,
+                                                [weak = weak_from_this()] {
+                                                    if (const auto self = weak.lock())
+                                                        self->schedule();
+                                                });
     ControlWatchSettings watch;
     watch.self = m_settings.self;
     watch.rpc = rpc;
@@ -235,6 +241,19 @@
     return nullptr;
 }
 
+std::optional<std::string> FleetEntry::nextHolder(const std::vector<std::string> &tried)
+{
+    auto excluded = tried;
+    excluded.push_back(m_settings.self.address);
+    const auto *grant = nextGrant(excluded, true);
+    return grant == nullptr ? std::nullopt : std::optional(grant->address);
+}
+
+void FleetEntry::onHolderFull(const std::string &address)
+{
+    m_fullUntil[address] = m_clock.now() + m_settings.fullHolderBackoff;
+}
+
 void FleetEntry::route(const std::string &jobId)
 {
     auto &pending = m_pendingJobs.at(jobId);
@@ -256,12 +275,12 @@
         .kv("token", grant->token)
         .kv("configuration", m_configuration ? m_configuration->version : 0);
     if (isLocal) {
-        (void)m_scheduler.submit(pending.job, {}, false, m_clock.now());
+        m_scheduler.submit(pending.job, {}, m_clock.now());
         schedule();
         return;
     }
     m_link->submit(
-        grant->address, {pending.job, false},
+        grant->address, {pending.job},
         [self = shared_from_this(), jobId](const auto &it) { self->onForwardResult(jobId, it); });
 }
 
@@ -380,30 +399,64 @@
         }
         return reply(std::string());
     }
+    case MessageKind::OfferRuns:
+        return onOfferRuns(requester, payload, reply);
+    case MessageKind::AwaitRuns:
+        return onAwaitRuns(payload, reply);
+    case MessageKind::StopRuns:
+        return onStopRuns(requester, payload, reply);
     default:
         return reply(Error{ErrorCode::InvalidRequest, "an entry does not support this call"});
     }
 }
 
+void FleetEntry::onOfferRuns(const std::string &requester, const std::string &payload,
+                             const RpcReply &reply)
+{
+    const auto offer = decodeOrReject<RunOffer>(payload, reply);
+    if (!offer)
+        return;
+    RunOfferReply response;
+    if (isHolder() && !m_isLeaving)
+        response = m_scheduler.startOffered(*offer, requester, m_clock.now());
+    m_metrics.countOffer(!response.started.empty());
+    reply(encodeMessage(response));
+    schedule();
+}
+
+void FleetEntry::onAwaitRuns(const std::string &payload, const RpcReply &reply)
+{
+    const auto request = decodeOrReject<AwaitRunsRequest>(payload, reply);
+    if (!request)
+        return;
+    m_waiters.await(
+        request->runs, [reply](const AwaitRunsReply &ended) { reply(encodeMessage(ended)); },
+        [this](const RunKey &key) { return m_scheduler.isRunningAccepted(key); });
+}
+
+void FleetEntry::onStopRuns(const std::string &requester, const std::string &payload,
+                            const RpcReply &reply)
+{
+    const auto request = decodeOrReject<StopRunsRequest>(payload, reply);
+    if (!request)
+        return;
+    m_scheduler.stopOffered(request->runs, requester, m_clock.now());
+    schedule();
+    reply(std::string());
+}
+
 void FleetEntry::onSubmit(const std::string &requester, const std::string &payload,
                           const RpcReply &reply)
 {
-    const auto request = decodeMessage<SubmitJobRequest>(payload);
-    if (!request) {
-        Log::warning(LogEvent::MessageUnreadable).kv("from", requester);
-        reply(request.error());
+    const auto request = decodeOrReject<SubmitJobRequest>(payload, reply);
+    if (!request)
         return;
-    }
     if (!isHolder() || m_isLeaving) {
         reply(encodeMessage(notRun(NotHolderReason, NoHolderRetryMs)));
         return;
     }
-    const auto &[job, mustStartNow] = request.value();
-    const auto admission = m_scheduler.submit(job, requester, mustStartNow, m_clock.now());
-    if (admission == Admission::NoRoomNow) {
-        reply(encodeMessage(notRun(NoRoomNowReason, 0)));
-        return;
-    }
+    const auto &job = request->job;
+    m_scheduler.submit(job, requester, m_clock.now());
     m_replies[job.id].push_back(reply);
     schedule();
 }
@@ -427,8 +480,7 @@
         self->m_scheduler.advance(now);
         self->sendOrders();
         self->deliverResults();
-        self->cancelOffers();
-        self->makeOffers();
+        self->makeOffers(now);
         self->logEvents();
         self->armTimer(now);
     });
@@ -484,62 +536,15 @@
     }
 }
 
-void FleetEntry::cancelOffers()
-{
-    for (const auto &jobId : m_scheduler.takeCancelledOffers()) {
-        const auto offered = m_offeredJobs.extract(jobId);
-        if (!offered.empty() && !offered.mapped().address.empty())
-            m_link->cancel(offered.mapped().address, jobId);
-    }
-}
-
-void FleetEntry::makeOffers()
+void FleetEntry::makeOffers(Milliseconds now)
 {
-    for (const auto &job : m_scheduler.takeOffers(m_clock.now())) {
-        m_offeredJobs[job.id] = {job, {m_settings.self.address}, {}};
-        offerNext(job.id);
-    }
-}
-
-void FleetEntry::offerNext(const std::string &jobId)
-{
-    auto &offered = m_offeredJobs.at(jobId);
-    const auto *grant =
-        offered.tried.size() <= m_settings.maxOffers ? nextGrant(offered.tried, true) : nullptr;
-    if (grant == nullptr) {
-        m_offeredJobs.erase(jobId);
-        m_scheduler.onOfferRejected(jobId, m_clock.now());
-        schedule();
-        return;
-    }
-    offered.tried.push_back(grant->address);
-    offered.address = grant->address;
-    m_link->submit(
-        grant->address, {offered.job, true},
-        [self = shared_from_this(), jobId](const auto &it) { self->onOfferResult(jobId, it); });
-}
-
-void FleetEntry::onOfferResult(const std::string &jobId,
-                               const std::variant<JobOutcome, ForwardFailure> &it)
-{
-    const auto offered = m_offeredJobs.find(jobId);
-    if (offered == m_offeredJobs.end())
-        return;
-    const auto *failure = std::get_if<ForwardFailure>(&it);
-    const auto *outcome = std::get_if<JobOutcome>(&it);
-    const bool isNotRun = outcome != nullptr && outcome->verdict == JobVerdict::NotRun;
-    m_metrics.countOffer(outcome != nullptr && !isNotRun);
-    if (isNotRun)
-        m_fullUntil[offered->second.address] = m_clock.now() + m_settings.fullHolderBackoff;
-    if (isNotRun || (failure != nullptr && *failure == ForwardFailure::NotSent)) {
-        offerNext(jobId);
-        return;
-    }
-    Log::decision(LogEvent::JobOffered).kv("request", jobId).kv("address", offered->second.address);
-    m_offeredJobs.erase(offered);
-    m_scheduler.onOfferedJobEnded(
-        jobId, outcome != nullptr ? *outcome : JobOutcome{JobVerdict::Unknown, "holder-lost", 0});
-    deliverResults();
+    for (const auto &stop : m_scheduler.takeRemoteStops())
+        m_offers->stopRuns(stop);
+    for (const auto &outcome : m_scheduler.takeAcceptedEnds())
+        m_waiters.onEnd(outcome, now);
+    m_waiters.evict(now);
+    for (auto &offer : m_scheduler.takeOffers(now))
+        m_offers->offer(std::move(offer));
 }
 
 void FleetEntry::logEvents()
@@ -597,6 +602,7 @@
     m_timer.cancel();
     m_graceTimer.cancel();
     m_watch->stop();
+    m_offers->stop();
     m_link->stop();
     m_rpc->stop();
     m_rpc.reset();
@@ -606,9 +612,10 @@
 {
     const auto elapsed = m_clock.now() - m_leavingSince;
     // While its runs last, this entry keeps its cells: another holder would have to stop the runs.
-    if (m_scheduler.jobCount() == 0 || elapsed > m_settings.cellReleaseTimeout)
+    const bool isIdle = m_scheduler.jobCount() + m_scheduler.acceptedRunCount() == 0;
+    if (isIdle || elapsed > m_settings.cellReleaseTimeout)
         m_watch->setLeaving(true);
-    m_hasLeft = m_scheduler.jobCount() == 0
+    m_hasLeft = isIdle
         && (m_heldCells.empty() || elapsed > m_settings.cellReleaseTimeout + LeavePropagationTime);
     if (m_hasLeft)
         return;
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -7,7 +7,9 @@
 #include "HolderLink.h"
 #include "InstanceOrders.h"
 #include "RpcServer.h"
+#include "RunOfferClient.h"
 #include "RunScheduler.h"
+#include "RunWaiters.h"
 
 #include <functional>
 #include <map>
@@ -28,7 +30,8 @@
     Milliseconds cellReleaseTimeout{1'500};
     /// A holder that had no room is not tried again before this time.
     Milliseconds fullHolderBackoff{20};
-    /// Maximum number of other holders that a job is offered to before it is scheduled here again.
+    /// Maximum number of other holders that the runs of a job are offered to before they may start
+    /// here again.
     std::size_t maxOffers = 3;
     /// For this long after its start an entry lets callers wait for the configuration and for
     /// holders instead of refusing them: after a power failure of all machines, members start a
@@ -41,7 +44,7 @@
 };
 
 /// All calls must come from the thread of the io_context.
-class FleetEntry : public std::enable_shared_from_this<FleetEntry>
+class FleetEntry : public std::enable_shared_from_this<FleetEntry>, private HolderChoice
 {
 public:
     using OutcomeCallback = std::function<void(JobOutcome)>;
@@ -89,14 +92,6 @@
         Milliseconds submittedAt;
     };
 
-    /// A job of this scheduler that is offered to the holder of another cell.
-    struct OfferedJob
-    {
-        FleetJob job;
-        std::vector<std::string> tried; ///< Addresses of holders that were tried.
-        std::string address;
-    };
-
     FleetEntry(boost::asio::io_context &io, FleetEntrySettings settings,
                std::shared_ptr<InstanceClient> instances);
 
@@ -107,6 +102,9 @@
     [[nodiscard]] bool isOwn(const CellGrant &grant) const;
     /// The next holder to try: cells of the own domain in turn, then those of others.
     [[nodiscard]] const CellGrant *nextGrant(const std::vector<std::string> &tried, bool skipsFull);
+    [[nodiscard]] std::optional<std::string>
+    nextHolder(const std::vector<std::string> &tried) override;
+    void onHolderFull(const std::string &address) override;
     void route(const std::string &jobId);
     /// No holder can be tried now: tries again later during the start grace period, and refuses the
     /// job after it.
@@ -126,12 +124,13 @@
     /// Counts a reply to an order without a wait, or its lack.
     void countReply(const char *order, OrderResult result, Milliseconds elapsed);
     void deliverResults();
-    /// Stops offered jobs at other holders that have no requester here any more.
-    void cancelOffers();
-    void makeOffers();
-    void offerNext(const std::string &jobId);
-    void onOfferResult(const std::string &jobId,
-                       const std::variant<JobOutcome, ForwardFailure> &it);
+    /// Exchanges offers, stops and ends of runs with the holders of other cells.
+    void makeOffers(Milliseconds now);
+    void onOfferRuns(const std::string &requester, const std::string &payload,
+                     const RpcReply &reply);
+    void onAwaitRuns(const std::string &payload, const RpcReply &reply);
+    void onStopRuns(const std::string &requester, const std::string &payload,
+                    const RpcReply &reply);
     void logEvents();
     void armTimer(Milliseconds now);
     void checkLeaving();
@@ -156,7 +155,8 @@
     std::map<std::string, PendingJob> m_pendingJobs;
     /// Pending replies to other entries, by job.
     std::map<std::string, std::vector<RpcReply>> m_replies;
-    std::map<std::string, OfferedJob> m_offeredJobs;
+    std::shared_ptr<RunOfferClient> m_offers;
+    RunWaiters m_waiters; ///< Other holders that wait for runs which this entry has accepted.
     /// Until when a holder without room is not tried, by address.
     std::map<std::string, Milliseconds> m_fullUntil;
     bool m_isScheduling = false;
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -148,12 +148,11 @@
 struct SubmitJobRequest
 {
     FleetJob job;
-    bool mustStartNow = false; ///< Refuse the job unless all its eligible tasks can start at once.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(job, mustStartNow);
+        archive(job);
     }
 };
 
--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -221,6 +221,12 @@
     std::uint64_t run = 0; ///< Increases with each start of the task.
 
     auto operator<=>(const RunKey &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(task, run);
+    }
 };
 
 enum class RunEnd : std::uint8_t {
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -53,6 +53,9 @@
     SubmitJob = 70,
     CancelJob = 71,
     Ping = 72,
+    OfferRuns = 73,
+    AwaitRuns = 74,
+    StopRuns = 75,
 };
 
 /// The role of a frame in a call.
--- a/src/HolderLink.cpp
+++ b/src/HolderLink.cpp
@@ -31,36 +31,49 @@
 
 void HolderLink::submit(const std::string &address, const SubmitJobRequest &request,
                         Callback callback)
+{
+    call(address, MessageKind::SubmitJob, encodeMessage(request),
+         [address, callback = std::move(callback)](const CallResult &result) {
+             if (const auto *failure = std::get_if<ForwardFailure>(&result)) {
+                 callback(*failure);
+                 return;
+             }
+             const auto outcome = decodeMessage<JobOutcome>(std::get<std::string>(result));
+             if (outcome) {
+                 callback(outcome.value());
+                 return;
+             }
+             Log::warning(LogEvent::MessageUnreadable).kv("address", address);
+             callback(ForwardFailure::Unknown);
+         });
+}
+
+void HolderLink::call(const std::string &address, MessageKind kind, std::string payload,
+                      std::function<void(const CallResult &)> callback)
 {
     auto &peer = peerOf(address);
     peer.sentAt = m_clock.now();
     if (peer.outstanding++ == 0)
         peer.lastContactAt = std::max(peer.lastContactAt, m_clock.now());
-    peer.client->call(
-        MessageKind::SubmitJob, encodeMessage(request), m_settings.jobTimeout,
-        [self = shared_from_this(), address, client = peer.client,
-         callback = std::move(callback)](RpcResult result) {
-            boost::asio::post(
-                self->m_io, [self, address, client, callback, result = std::move(result)] {
-                    auto &peer = self->m_peers[address];
-                    --peer.outstanding;
-                    if (const auto *failure = std::get_if<RpcFailure>(&result)) {
-                        if (peer.client == client)
-                            self->markLost(address, failure->error.message);
-                        callback(failure->maybeSent ? ForwardFailure::Unknown
-                                                    : ForwardFailure::NotSent);
-                        return;
-                    }
-                    peer.lastContactAt = self->m_clock.now();
-                    const auto outcome = decodeMessage<JobOutcome>(std::get<std::string>(result));
-                    if (outcome) {
-                        callback(outcome.value());
-                        return;
-                    }
-                    Log::warning(LogEvent::MessageUnreadable).kv("address", address);
-                    callback(ForwardFailure::Unknown);
-                });
-        });
+    peer.client->call(kind, std::move(payload), m_settings.jobTimeout,
+                      [self = shared_from_this(), address, client = peer.client,
+                       callback = std::move(callback)](RpcResult result) {
+                          boost::asio::post(
+                              self->m_io,
+                              [self, address, client, callback, result = std::move(result)] {
+                                  auto &peer = self->m_peers[address];
+                                  --peer.outstanding;
+                                  if (const auto *failure = std::get_if<RpcFailure>(&result)) {
+                                      if (peer.client == client)
+                                          self->markLost(address, failure->error.message);
+                                      callback(failure->maybeSent ? ForwardFailure::Unknown
+                                                                  : ForwardFailure::NotSent);
+                                      return;
+                                  }
+                                  peer.lastContactAt = self->m_clock.now();
+                                  callback(std::get<std::string>(result));
+                              });
+                      });
     armTimer();
 }
 
--- a/src/HolderLink.h
+++ b/src/HolderLink.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <variant>
 
 namespace Camphor {
 
@@ -39,7 +40,10 @@
     Unknown,
 };
 
-/// Submits jobs to holders. All calls must come from the thread of the io_context.
+/// The payload of a reply, or the reason why there is none.
+using CallResult = std::variant<std::string, ForwardFailure>;
+
+/// Submits jobs to holders, and calls them. All calls must come from the thread of the io_context.
 class HolderLink : public std::enable_shared_from_this<HolderLink>
 {
 public:
@@ -51,6 +55,10 @@
     /// Calls back once, with the job's outcome or the reason why there is none.
     void submit(const std::string &address, const SubmitJobRequest &request, Callback callback);
     void cancel(const std::string &address, const std::string &jobId);
+    /// Calls a holder; calls back once. While a call is outstanding, the holder is pinged, and the
+    /// call fails when it is lost.
+    void call(const std::string &address, MessageKind kind, std::string payload,
+              std::function<void(const CallResult &)> callback);
     /// Closes all connections; outstanding jobs end as unknown.
     void stop();
     /// False from the loss of a holder until it replies to a ping or the backoff has passed,
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -73,6 +73,12 @@
         m_runs, [&](const auto &it) { return it.first.task.starts_with(prefix); }));
 }
 
+bool LeasedInstance::hasRunOf(const std::string &task) const
+{
+    const auto it = m_runs.lower_bound({task, 0});
+    return it != m_runs.end() && it->first.task == task;
+}
+
 // --- Clock and lease
 
 double LeasedInstance::clockAt(Milliseconds now) const
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -69,6 +69,8 @@
     [[nodiscard]] std::size_t runCount() const { return m_runs.size(); }
     /// Number of runs with this prefix of the task name, such as those of one step of a job.
     [[nodiscard]] std::size_t runsWithPrefix(const std::string &prefix) const;
+    /// Whether a run of this task is here that may not have ended.
+    [[nodiscard]] bool hasRunOf(const std::string &task) const;
 
     /// Records a run and returns the order to send. Requires isUsable().
     [[nodiscard]] StartOrder start(RunKey key, const std::string &payload,
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Delay before a waiting job is offered to other cells again.
-constexpr Milliseconds OfferRetryDelay{25};
 /// Runs of a task beyond its allowed failures, because lost leases and refused starts are not
 /// failures of the task.
 constexpr std::uint64_t ExtraRuns = 6;
@@ -140,44 +138,37 @@
     });
 }
 
-Admission RunScheduler::submit(const FleetJob &job, const std::string &requester, bool mustStartNow,
-                               Milliseconds now)
+void RunScheduler::submit(const FleetJob &job, const std::string &requester, Milliseconds now)
 {
     onRequesterContact(requester, now);
     if (const auto it = m_outcomes.find(job.id); it != m_outcomes.end()) {
         m_results.push_back({job.id, it->second});
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "remembered-outcome"});
-        return Admission::Accepted;
+        return;
     }
     if (const auto it = m_jobs.find(job.id); it != m_jobs.end()) {
         it->second.requester = requester;
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "running-job"});
-        return Admission::Accepted;
+        return;
     }
     const auto *rule = m_configuration ? m_configuration->find(job.queue) : nullptr;
     if (rule == nullptr) {
         m_results.push_back({job.id, {JobVerdict::NotRun, "unknown-queue", NoInstanceRetryMs}});
-        return Admission::Accepted;
+        return;
     }
     auto pendingJob = makeJob(job, *rule, requester, now);
     const bool isKnownService = std::ranges::any_of(
         m_knownInstances, [&](const auto &it) { return servesNow(it.second, rule->service); });
     if (!isKnownService) {
         m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance", NoInstanceRetryMs}});
-        return Admission::Accepted;
+        return;
     }
     if (!canEverRun(pendingJob)) {
         m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance-can-hold-a-task", 0}});
-        return Admission::Accepted;
+        return;
     }
-    if (mustStartNow && !canStartAll(pendingJob, now))
-        return Admission::NoRoomNow;
     raiseVirtualTime(job.queue);
-    auto &storedJob = m_jobs.emplace(job.id, std::move(pendingJob)).first->second;
-    storedJob.isFromPeer = mustStartNow;
-    if (mustStartNow)
-        (void)startTasks(storedJob, now);
-    return Admission::Accepted;
+    m_jobs.emplace(job.id, std::move(pendingJob));
 }
 
 void RunScheduler::cancel(const std::string &jobId, const std::string &requester, Milliseconds now)
@@ -195,47 +186,26 @@
         m_requesters[requester] = now;
 }
 
-std::vector<FleetJob> RunScheduler::takeOffers(Milliseconds now)
-{
-    std::vector<FleetJob> offers;
-    for (auto &[id, job] : m_jobs) {
-        if (job.hasStarted || job.isOffered || job.isFromPeer || now < job.nextOfferAt)
-            continue;
-        job.isOffered = true;
-        offers.push_back(job.job);
-    }
-    return offers;
-}
-
-void RunScheduler::onOfferedJobEnded(const std::string &jobId, const JobOutcome &outcome)
-{
-    if (m_jobs.erase(jobId) > 0)
-        m_results.push_back({jobId, outcome});
-}
-
-void RunScheduler::onOfferRejected(const std::string &jobId, Milliseconds now)
-{
-    const auto it = m_jobs.find(jobId);
-    if (it == m_jobs.end())
-        return;
-    it->second.isOffered = false;
-    it->second.nextOfferAt = now + OfferRetryDelay;
-}
-
 void RunScheduler::abandonRuns(Job &job, Milliseconds now)
 {
-    if (job.isOffered)
-        m_cancelledOffers.push_back(job.job.id);
+    std::map<std::string, StopRunsRequest> remote;
     for (std::size_t step = 0; step < job.tasks.size(); ++step) {
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             const auto &task = job.tasks[step][index];
             if (task.state != Task::State::Running)
                 continue;
+            const RunKey key{taskName(job.job.id, step, index), task.runs};
+            if (!task.holder.empty()) {
+                remote[task.holder].runs.push_back(key);
+                continue;
+            }
             const auto it = m_instances.find(task.instance);
             if (it != m_instances.end())
-                it->second.abandon({taskName(job.job.id, step, index), task.runs}, now);
+                it->second.abandon(key, now);
         }
     }
+    for (auto &[holder, request] : remote)
+        m_remoteStops.push_back({holder, std::move(request)});
 }
 
 void RunScheduler::finish(const std::string &jobId, JobOutcome outcome, Milliseconds now)
@@ -330,45 +300,73 @@
         onRunResult(instance, result, now);
 }
 
-void RunScheduler::onRunResult(const LeasedInstance &instance, const RunResult &result,
-                               Milliseconds now)
+std::optional<RunScheduler::TaskRef> RunScheduler::findTask(const RunKey &key)
 {
-    const auto taskId = parseTaskName(result.key.task);
-    const auto it = taskId ? m_jobs.find(taskId->jobId) : m_jobs.end();
+    const auto place = parseTaskName(key.task);
+    const auto it = place ? m_jobs.find(place->jobId) : m_jobs.end();
     if (it == m_jobs.end())
-        return;
+        return std::nullopt;
     auto &job = it->second;
-    if (taskId->step >= job.tasks.size() || taskId->index >= job.tasks[taskId->step].size())
-        return;
-    auto &task = job.tasks[taskId->step][taskId->index];
-    if (task.state != Task::State::Running || task.runs != result.key.run)
-        return;
-    const auto id = instance.report().key.id;
-    addEvent({ScheduleEvent::Kind::Ended, job.job.id, result.key, id, runEndName(result.end),
-              result.elapsed.count(), result.end});
+    if (place->step >= job.tasks.size() || place->index >= job.tasks[place->step].size())
+        return std::nullopt;
+    auto &task = job.tasks[place->step][place->index];
+    if (task.state != Task::State::Running || task.runs != key.run)
+        return std::nullopt;
+    return TaskRef{&job, place->step, &task};
+}
+
+void RunScheduler::onRunResult(const LeasedInstance &instance, const RunResult &result,
+                               Milliseconds now)
+{
+    const RunOutcome outcome{result.key, result.end,
+                             instance.isFenced() && result.end != RunEnd::Done,
+                             result.elapsed.count(), instance.report().key.id};
+    if (m_acceptedRuns.contains(result.key))
+        onAcceptedRunEnd(outcome, now);
+    else if (const auto ref = findTask(result.key))
+        onTaskEnd(*ref, outcome, now);
+}
+
+void RunScheduler::onTaskEnd(const TaskRef &ref, const RunOutcome &outcome, Milliseconds now)
+{
+    auto &job = *ref.job;
+    auto &task = *ref.task;
+    // A copy, because the end of the job destroys it.
+    const auto jobId = job.job.id;
+    addEvent({ScheduleEvent::Kind::Ended, jobId, outcome.key, outcome.instance,
+              runEndName(outcome.end), outcome.elapsedMs, outcome.end});
+    const bool isLocal = task.holder.empty();
     task.state = Task::State::Waiting;
-    if (result.end == RunEnd::Done) {
+    task.holder.clear();
+    if (outcome.end == RunEnd::Done) {
         task.state = Task::State::Done;
-        const auto &step = job.job.steps[taskId->step];
-        const auto expected = std::max(Milliseconds{1}, expectedTime(job, step));
-        m_health.onDone(id, result.elapsed.count() / expected.count(), now);
-        m_runTimes.addSample(job.rule.name, Milliseconds{double(step.estimatedMs)}, result.elapsed);
-        ++job.done[taskId->step];
+        if (isLocal)
+            addRunTime(job.rule.name, job.job.steps[ref.step], outcome, now);
+        ++job.done[ref.step];
         const bool isDone = std::ranges::equal(job.done, job.job.steps, {}, {},
                                                [](const JobStep &it) { return it.taskCount; });
         if (isDone)
-            finish(taskId->jobId, {JobVerdict::Completed, "", 0}, now);
-    } else if (instance.isFenced()) {
-        finish(taskId->jobId, {JobVerdict::Unknown, "cell-moved", 0}, now);
-    } else if (result.end == RunEnd::Failed) {
-        onTaskFailed(job, task, id, result.key, now);
+            finish(jobId, {JobVerdict::Completed, "", 0}, now);
+    } else if (outcome.isUnknown) {
+        finish(jobId, {JobVerdict::Unknown, "cell-moved", 0}, now);
+    } else if (outcome.end == RunEnd::Failed) {
+        onTaskFailed(job, task, outcome.instance, outcome.key, now);
     } else if (task.runs >= job.rule.maxAttempts + ExtraRuns) {
-        finish(taskId->jobId, {JobVerdict::Unknown, "task-lost-too-often", 0}, now);
-    } else if (result.end == RunEnd::LeaseExpired) {
-        task.avoid.push_back(id);
+        finish(jobId, {JobVerdict::Unknown, "task-lost-too-often", 0}, now);
+    } else if (outcome.end == RunEnd::LeaseExpired) {
+        task.avoid.push_back(outcome.instance);
     }
 }
 
+void RunScheduler::addRunTime(const std::string &queue, const JobStep &step,
+                              const RunOutcome &outcome, Milliseconds now)
+{
+    const Milliseconds declared{double(step.estimatedMs)};
+    const auto expected = std::max(Milliseconds{1}, m_runTimes.estimate(queue, declared));
+    m_health.onDone(outcome.instance, outcome.elapsedMs / expected.count(), now);
+    m_runTimes.addSample(queue, declared, Milliseconds{outcome.elapsedMs});
+}
+
 void RunScheduler::onTaskFailed(Job &job, Task &task, const std::string &instance,
                                 const RunKey &key, Milliseconds now)
 {
@@ -401,6 +399,7 @@
         return;
     for (const auto &requester : lost)
         m_requesters.erase(requester);
+    stopAcceptedRuns(lost, now);
     std::vector<std::string> orphans;
     for (const auto &[id, job] : m_jobs) {
         if (lost.contains(job.requester))
@@ -419,6 +418,10 @@
     addEvent({ScheduleEvent::Kind::Stalled, {}, {}, {}, Reason, duration.count()});
     // Messages that the requesters sent before they gave up may arrive only now, and must not count
     // as contact: the callers may have resent these jobs to other cells.
+    std::set<std::string> requesters;
+    for (const auto &[key, run] : m_acceptedRuns)
+        requesters.insert(run.requester);
+    stopAcceptedRuns(requesters, now);
     std::vector<std::string> orphans;
     for (const auto &[id, job] : m_jobs) {
         if (!job.requester.empty())
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -5,6 +5,7 @@
 #include "InstanceHealth.h"
 #include "InstanceOrders.h"
 #include "LeasedInstance.h"
+#include "RunOffer.h"
 #include "RunTimeModel.h"
 
 #include <cstdint>
@@ -49,10 +50,13 @@
     auto operator<=>(const JobResult &) const = default;
 };
 
-/// Result of submit().
-enum class Admission : std::uint8_t {
-    Accepted, ///< The outcome follows in takeResults().
-    NoRoomNow, ///< Only with mustStartNow: the job was not stored.
+/// Runs of a job that has ended here, to be stopped by the holder that runs them.
+struct RemoteStop
+{
+    std::string holder; ///< Address of the other holder.
+    StopRunsRequest request;
+
+    auto operator<=>(const RemoteStop &) const = default;
 };
 
 /// A scheduling decision or the end of a run, for the log.
@@ -87,29 +91,45 @@
                       const std::map<std::string, std::uint64_t> &heldTokens, Milliseconds now);
 
     // --- Jobs
-    /// Accepts a job, joins one with the same id, or repeats a retained outcome.
+    /// Accepts a job, joins one with the same id, or repeats a retained outcome. The outcome
+    /// follows in takeResults().
     /// @param requester receives the result; must stay in contact while the job runs. Empty for a
     /// job of a caller of this entry.
-    /// @param mustStartNow refuse the job unless all its eligible tasks can start at once. Such a
-    /// job comes from the holder of another cell and is not offered to further ones.
-    Admission submit(const FleetJob &job, const std::string &requester, bool mustStartNow,
-                     Milliseconds now);
+    void submit(const FleetJob &job, const std::string &requester, Milliseconds now);
     /// The caller has disconnected: ends the job as unknown and stops its runs. Does nothing if
     /// another requester has submitted the job since.
     void cancel(const std::string &jobId, const std::string &requester, Milliseconds now);
     void onRequesterContact(const std::string &requester, Milliseconds now);
-    /// Returns waiting jobs that another cell might start at once. A rejected offer is repeated
-    /// after a delay.
-    [[nodiscard]] std::vector<FleetJob> takeOffers(Milliseconds now);
-    /// Another cell accepted the offered job, which ended with this outcome.
-    void onOfferedJobEnded(const std::string &jobId, const JobOutcome &outcome);
-    /// No other cell can start the offered job now, so it may start here again.
-    void onOfferRejected(const std::string &jobId, Milliseconds now);
-    /// Returns offered jobs that were cancelled or lost their requester since the last call. The
-    /// cell that has accepted one must stop it.
-    [[nodiscard]] std::vector<std::string> takeCancelledOffers()
+    [[nodiscard]] bool hasJob(const std::string &jobId) const { return m_jobs.contains(jobId); }
+
+    // --- Runs offered to the holders of other cells
+    /// Returns the runs of waiting jobs that do not fit here now. At most one offer for each job is
+    /// open; a rejected one is repeated after a delay.
+    [[nodiscard]] std::vector<RunOffer> takeOffers(Milliseconds now);
+    /// Another holder has started some of the offered runs.
+    void onOfferedRunsStarted(const std::string &jobId, const std::string &holder,
+                              const std::vector<RunKey> &started, Milliseconds now);
+    /// The offer of this job is closed: the runs that nobody has started may start here again.
+    void onOfferClosed(const std::string &jobId, Milliseconds now);
+    void onRemoteEnds(const std::vector<RunOutcome> &ends, Milliseconds now);
+    /// The holder that runs tasks of this job, or may run them, is lost.
+    void onRemoteHolderLost(const std::string &jobId, Milliseconds now);
+    [[nodiscard]] std::vector<RemoteStop> takeRemoteStops()
     {
-        return std::exchange(m_cancelledOffers, {});
+        return std::exchange(m_remoteStops, {});
+    }
+
+    // --- Runs accepted from the holders of other cells
+    /// Starts those of the offered runs that fit now.
+    [[nodiscard]] RunOfferReply startOffered(const RunOffer &offer, const std::string &requester,
+                                             Milliseconds now);
+    /// Stops accepted runs of a requester.
+    void stopOffered(const std::vector<RunKey> &runs, const std::string &requester,
+                     Milliseconds now);
+    /// Accepted runs that have ended since the last call.
+    [[nodiscard]] std::vector<RunOutcome> takeAcceptedEnds()
+    {
+        return std::exchange(m_acceptedEnds, {});
     }
 
     // --- Replies of instances
@@ -127,18 +147,29 @@
     [[nodiscard]] std::vector<JobResult> takeResults() { return std::exchange(m_results, {}); }
     [[nodiscard]] std::vector<ScheduleEvent> takeEvents() { return std::exchange(m_events, {}); }
 
+    [[nodiscard]] bool isRunningAccepted(const RunKey &key) const
+    {
+        return m_acceptedRuns.contains(key);
+    }
     [[nodiscard]] std::size_t jobCount() const { return m_jobs.size(); }
+    [[nodiscard]] std::size_t acceptedRunCount() const { return m_acceptedRuns.size(); }
     [[nodiscard]] std::size_t usableInstances(Milliseconds now) const;
 
 private:
     struct Task
     {
-        enum class State : std::uint8_t { Waiting, Running, Done };
+        enum class State : std::uint8_t {
+            Waiting,
+            Offered, ///< To other holders, one of which may have started it.
+            Running,
+            Done,
+        };
 
         State state = State::Waiting;
         std::uint64_t runs = 0; ///< Number of starts so far; identifies the current run.
         std::uint32_t failures = 0;
-        std::string instance; ///< Instance of the current run.
+        std::string instance; ///< Instance of the current run, if it is held here.
+        std::string holder; ///< Address of the holder of another cell that runs it, or empty.
         /// Instances where a run of this task has failed or lost its lease.
         std::vector<std::string> avoid;
     };
@@ -153,13 +184,28 @@
         Milliseconds startDeadline; ///< The job is refused unless it has started by then.
         Milliseconds nextOfferAt;
         bool hasStarted = false;
-        bool isOffered = false; ///< Offered to another cell; must not start here meanwhile.
-        bool isFromPeer = false; ///< Offered by the holder of another cell.
+        bool isOffered = false; ///< An offer is open; nothing starts here meanwhile.
         bool hasEarlierRuns = false; ///< Runs of an earlier submission have not ended yet.
         std::vector<std::vector<Task>> tasks; ///< By step and index.
         std::vector<std::uint32_t> done; ///< Number of finished tasks, by step.
     };
 
+    /// A task of a job.
+    struct TaskRef
+    {
+        Job *job = nullptr;
+        std::size_t step = 0;
+        Task *task = nullptr;
+    };
+
+    /// A run accepted from the holder of another cell.
+    struct AcceptedRun
+    {
+        std::string requester;
+        std::string queue;
+        JobStep step;
+    };
+
     /// An instance on which tasks of one step can start.
     struct Candidate
     {
@@ -176,16 +222,25 @@
     [[nodiscard]] bool canStartAll(const Job &job, Milliseconds now);
     [[nodiscard]] bool isEligible(const Job &job, std::size_t step) const;
     [[nodiscard]] Milliseconds expectedTime(const Job &job, const JobStep &step) const;
+    /// @param prefix of the names of the step's tasks.
+    [[nodiscard]] std::vector<Candidate> candidates(const std::string &service, const JobStep &step,
+                                                    const std::string &prefix, Milliseconds now);
     [[nodiscard]] std::vector<Candidate> candidates(const Job &job, std::size_t stepIndex,
                                                     Milliseconds now);
     /// The best candidate for a task, or null.
     [[nodiscard]] static Candidate *pick(std::vector<Candidate> &found, const JobStep &step,
-                                         const Task &task);
+                                         const std::vector<std::string> &avoid);
+    /// Number of waiting tasks of a step that find room now.
+    [[nodiscard]] std::size_t countPlaceable(const Job &job, std::size_t step, Milliseconds now);
+    [[nodiscard]] static std::size_t countWaiting(const Job &job, std::size_t step);
     void startTask(Job &job, std::size_t step, std::size_t index, LeasedInstance &instance,
                    Milliseconds now);
     /// Starts all waiting tasks of a job that find room. @return whether all have started.
     bool startTasks(Job &job, Milliseconds now);
     [[nodiscard]] bool hasWaitingTask(const Job &job) const;
+    /// The runs to offer of a job, or nothing.
+    [[nodiscard]] std::optional<RunOffer> makeOffer(Job &job, Milliseconds now);
+    void chargeQueue(const std::string &queue, const JobStep &step, Milliseconds expected);
     void startWaitingJobs(Milliseconds now);
     void raiseVirtualTime(const std::string &queue);
     [[nodiscard]] std::vector<std::string> jobsInStartOrder() const;
@@ -199,8 +254,16 @@
 
     void collectResults(LeasedInstance &instance, Milliseconds now);
     void onRunResult(const LeasedInstance &instance, const RunResult &result, Milliseconds now);
+    /// The current run of a task has ended, here or at the holder of another cell.
+    void onTaskEnd(const TaskRef &ref, const RunOutcome &outcome, Milliseconds now);
     void onTaskFailed(Job &job, Task &task, const std::string &instance, const RunKey &key,
                       Milliseconds now);
+    /// The task whose current run has this key; nothing if there is none.
+    [[nodiscard]] std::optional<TaskRef> findTask(const RunKey &key);
+    void addRunTime(const std::string &queue, const JobStep &step, const RunOutcome &outcome,
+                    Milliseconds now);
+    void onAcceptedRunEnd(const RunOutcome &outcome, Milliseconds now);
+    void stopAcceptedRuns(const std::set<std::string> &requesters, Milliseconds now);
     void finish(const std::string &jobId, JobOutcome outcome, Milliseconds now);
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
@@ -216,6 +279,7 @@
     RunTimeModel m_runTimes;
 
     std::map<std::string, Job> m_jobs;
+    std::map<RunKey, AcceptedRun> m_acceptedRuns;
     /// Virtual time of each queue, in millicore-milliseconds.
     std::map<std::string, double> m_virtualTimes;
     std::map<std::string, JobOutcome> m_outcomes; ///< Retained outcomes, by job.
@@ -228,7 +292,8 @@
     std::vector<StopOrder> m_stops;
     std::vector<HoldOrder> m_holds;
     std::vector<JobResult> m_results;
-    std::vector<std::string> m_cancelledOffers;
+    std::vector<RemoteStop> m_remoteStops;
+    std::vector<RunOutcome> m_acceptedEnds;
     std::vector<ScheduleEvent> m_events;
 };
 
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -20,6 +20,9 @@
 /// Run time factors for a task away from its data, and on an instance that is still warming up.
 constexpr double RemoteDataFactor = 2.0;
 constexpr double WarmupFactor = 1.5;
+/// Jobs of a queue that may accumulate resources as they become free. With many, all would be late;
+/// a second one uses room that is too small for the tasks of the first.
+constexpr int MaxCollectingJobs = 2;
 
 } // namespace
 
@@ -33,12 +36,19 @@
 std::vector<RunScheduler::Candidate> RunScheduler::candidates(const Job &job, std::size_t stepIndex,
                                                               Milliseconds now)
 {
-    const auto &step = job.job.steps[stepIndex];
-    const auto prefix = job.job.id + ".0." + std::to_string(stepIndex) + '.';
+    return candidates(job.rule.service, job.job.steps[stepIndex],
+                      taskNamePrefix(job.job.id, stepIndex), now);
+}
+
+std::vector<RunScheduler::Candidate> RunScheduler::candidates(const std::string &service,
+                                                              const JobStep &step,
+                                                              const std::string &prefix,
+                                                              Milliseconds now)
+{
     std::vector<Candidate> found;
     for (auto &[id, instance] : m_instances) {
         const auto &report = instance.report();
-        const bool isMatch = report.service == job.rule.service && instance.isUsable(now)
+        const bool isMatch = report.service == service && instance.isUsable(now)
             && step.demand.fitsInto(instance.freeCapacity())
             && (step.requiredLabel.empty() || report.hasLabel(step.requiredLabel));
         if (!isMatch)
@@ -68,14 +78,14 @@
 }
 
 RunScheduler::Candidate *RunScheduler::pick(std::vector<Candidate> &found, const JobStep &step,
-                                            const Task &task)
+                                            const std::vector<std::string> &avoid)
 {
     Candidate *best = nullptr;
     double bestScore = 0;
     for (auto &candidate : found) {
         const auto &id = candidate.instance->report().key.id;
         if (candidate.maxNewTasks == 0 || !step.demand.fitsInto(candidate.free)
-            || std::ranges::find(task.avoid, id) != task.avoid.end())
+            || std::ranges::find(avoid, id) != avoid.end())
             continue;
         // Cost is compared in coarse steps, so that noise does not degrade the packing: among
         // instances of about equal speed, the one with the least remaining CPU is chosen.
@@ -94,27 +104,45 @@
     return best;
 }
 
+std::size_t RunScheduler::countPlaceable(const Job &job, std::size_t step, Milliseconds now)
+{
+    auto found = candidates(job, step, now);
+    std::size_t count = 0;
+    for (const auto &task : job.tasks[step]) {
+        if (task.state != Task::State::Waiting)
+            continue;
+        auto *candidate = pick(found, job.job.steps[step], task.avoid);
+        if (candidate == nullptr)
+            continue;
+        candidate->free -= job.job.steps[step].demand;
+        --candidate->maxNewTasks;
+        ++count;
+    }
+    return count;
+}
+
+std::size_t RunScheduler::countWaiting(const Job &job, std::size_t step)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(job.tasks[step], Task::State::Waiting, &Task::state));
+}
+
 bool RunScheduler::canStartAll(const Job &job, Milliseconds now)
 {
     if (job.hasEarlierRuns)
         return false;
     for (std::size_t step = 0; step < job.tasks.size(); ++step) {
-        if (!isEligible(job, step))
-            continue;
-        auto found = candidates(job, step, now);
-        for (const auto &task : job.tasks[step]) {
-            if (task.state != Task::State::Waiting)
-                continue;
-            auto *candidate = pick(found, job.job.steps[step], task);
-            if (candidate == nullptr)
-                return false;
-            candidate->free -= job.job.steps[step].demand;
-            --candidate->maxNewTasks;
-        }
+        if (isEligible(job, step) && countPlaceable(job, step, now) < countWaiting(job, step))
+            return false;
     }
     return true;
 }
 
+void RunScheduler::chargeQueue(const std::string &queue, const JobStep &step, Milliseconds expected)
+{
+    m_virtualTimes[queue] += static_cast<double>(step.demand.cpuMillicores) * expected.count();
+}
+
 void RunScheduler::startTask(Job &job, std::size_t step, std::size_t index,
                              LeasedInstance &instance, Milliseconds now)
 {
@@ -127,8 +155,7 @@
     job.hasStarted = true;
     const auto expected = expectedTime(job, jobStep) * m_health.slowdown(id);
     const RunKey key{taskName(job.job.id, step, index), task.runs};
-    m_virtualTimes[job.rule.name] +=
-        static_cast<double>(jobStep.demand.cpuMillicores) * expected.count();
+    chargeQueue(job.rule.name, jobStep, expected);
     m_starts.push_back(instance.start(key, job.job.payload, jobStep.demand, expected, now));
     addEvent(
         {ScheduleEvent::Kind::Started, job.job.id, key, id, "room", (now - job.arrivedAt).count()});
@@ -154,7 +181,7 @@
             auto &task = job.tasks[step][index];
             if (!isWaitingTask(task))
                 continue;
-            auto *candidate = pick(found, job.job.steps[step], task);
+            auto *candidate = pick(found, job.job.steps[step], task.avoid);
             if (candidate == nullptr) {
                 isComplete = false;
                 continue;
@@ -176,7 +203,7 @@
     using Rank = std::tuple<double, bool, Milliseconds>;
     std::vector<std::pair<Rank, std::string>> order;
     for (const auto &[id, job] : m_jobs) {
-        if (job.isOffered || !hasWaitingTask(job))
+        if ((job.isOffered && !job.hasStarted) || !hasWaitingTask(job))
             continue;
         const auto served = m_virtualTimes.find(job.rule.name);
         const double virtualTime = served == m_virtualTimes.end() ? 0.0 : served->second;
@@ -191,19 +218,17 @@
 
 void RunScheduler::startWaitingJobs(Milliseconds now)
 {
-    std::set<std::string> partiallyStarted; // Queues with a started job that waits for room.
+    std::map<std::string, int> partiallyStarted; // Started jobs that wait for room, by queue.
     for (const auto &id : jobsInStartOrder()) {
         auto &job = m_jobs.at(id);
-        const auto &queue = job.rule.name;
         if (!job.hasStarted && canStartAll(job, now)) {
             (void)startTasks(job, now);
             continue;
         }
-        // Only one job of a queue at a time accumulates resources as they become free; otherwise
-        // all its jobs would be late.
-        const bool mayStartPartially = !partiallyStarted.contains(queue);
-        if ((job.hasStarted || mayStartPartially) && !startTasks(job, now) && job.hasStarted)
-            partiallyStarted.insert(queue);
+        auto &collecting = partiallyStarted[job.rule.name];
+        if ((job.hasStarted || collecting < MaxCollectingJobs) && !startTasks(job, now)
+            && job.hasStarted)
+            ++collecting;
     }
 }
 
--- /dev/null
+++ b/src/RunWaiters.h
@@ -0,0 +1,50 @@
+/// @file Requests of other holders that wait for the end of accepted runs.
+#pragma once
+
+#include "RunOffer.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace Camphor {
+
+/// Passes the ends of accepted runs to the requests that wait for them. Performs no I/O.
+class RunWaiters
+{
+public:
+    using Reply = std::function<void(const AwaitRunsReply &)>;
+
+    /// Calls back when at least one of the runs has ended; at once if one has. A run that is
+    /// neither running nor known to have ended counts as ended with an unknown result.
+    /// @param isRunning whether an accepted run is running.
+    void await(const std::vector<RunKey> &runs, Reply reply,
+               const std::function<bool(const RunKey &)> &isRunning);
+    /// An accepted run has ended. The end is retained until a request asks for it.
+    void onEnd(const RunOutcome &outcome, Milliseconds now);
+    /// Discards ends that no request has asked for in time, because their holder is lost.
+    void evict(Milliseconds now);
+
+    [[nodiscard]] std::size_t retainedEnds() const { return m_ends.size(); }
+
+private:
+    struct RetainedEnd
+    {
+        RunOutcome outcome;
+        Milliseconds at;
+    };
+
+    struct Waiter
+    {
+        std::vector<RunKey> runs;
+        Reply reply;
+    };
+
+    std::map<RunKey, RetainedEnd> m_ends;
+    std::map<std::uint64_t, Waiter> m_waiters;
+    std::map<RunKey, std::uint64_t> m_waiterOf;
+    std::uint64_t m_lastWaiter = 0;
+};
+
+} // namespace Camphor
--- a/src/TaskName.cpp
+++ b/src/TaskName.cpp
@@ -19,7 +19,12 @@
 
 std::string taskName(const std::string &jobId, std::size_t step, std::size_t index)
 {
-    return jobId + ".0." + std::to_string(step) + '.' + std::to_string(index);
+    return taskNamePrefix(jobId, step) + std::to_string(index);
+}
+
+std::string taskNamePrefix(const std::string &jobId, std::size_t step)
+{
+    return jobId + ".0." + std::to_string(step) + '.';
 }
 
 std::optional<TaskPlace> parseTaskName(std::string_view name)
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -216,6 +216,7 @@
     ResourceVector demand{14'000, 64, 0};
     /// Holders in this set are paused: they neither act nor receive replies.
     std::set<const RunScheduler *> paused;
+    bool offersRuns = false; ///< Whether the holders exchange runs that do not fit.
     double now = 0;
     /// Number of times that two runs of one task were seen at the same time.
     int doubleRuns = 0;
@@ -356,8 +357,88 @@
         for (const auto &result : holder.takeResults())
             outcomes[result.jobId] = result.outcome;
         (void)holder.takeEvents();
-        for (const auto &job : holder.takeOffers(at))
-            holder.onOfferRejected(job.id, at);
+        exchange(holder);
+    }
+
+    // --- Offers between the holders, whose addresses are their numbers
+
+    [[nodiscard]] std::string addressOf(const RunScheduler &holder) const
+    {
+        const auto it = std::ranges::find(m_holders, &holder, &std::unique_ptr<RunScheduler>::get);
+        return std::to_string(it - m_holders.begin());
+    }
+    [[nodiscard]] RunScheduler &holderAt(const std::string &address)
+    {
+        return *m_holders.at(std::stoul(address));
+    }
+
+    /// Runs the action when its message arrives; a paused holder receives it when it resumes.
+    void post(const RunScheduler &to, std::function<void()> action)
+    {
+        schedule(now + delay(), [this, &to, action = std::move(action)] {
+            if (paused.contains(&to))
+                post(to, action);
+            else
+                action();
+        });
+    }
+
+    void exchange(RunScheduler &holder)
+    {
+        const Milliseconds at{now};
+        const auto address = addressOf(holder);
+        for (const auto &other : m_holders) {
+            if (offersRuns && other.get() != &holder && !paused.contains(other.get()))
+                holder.onRequesterContact(addressOf(*other), at);
+        }
+        for (const auto &offer : holder.takeOffers(at)) {
+            if (offersRuns)
+                sendOffer(holder, offer, 0);
+            else
+                holder.onOfferClosed(offer.jobId, at);
+        }
+        for (const auto &outcome : holder.takeAcceptedEnds()) {
+            auto &home = *m_homes.at(outcome.key);
+            post(home, [this, &home, outcome] { home.onRemoteEnds({outcome}, Milliseconds{now}); });
+        }
+        for (const auto &stop : holder.takeRemoteStops()) {
+            auto &other = holderAt(stop.holder);
+            post(other, [this, &other, stop, address] {
+                other.stopOffered(stop.request.runs, address, Milliseconds{now});
+            });
+        }
+    }
+
+    /// Offers the runs to the holders from the given number on.
+    void sendOffer(RunScheduler &holder, const RunOffer &offer, std::size_t number)
+    {
+        if (number < m_holders.size() && m_holders[number].get() == &holder)
+            ++number;
+        if (number >= m_holders.size() || offer.runs.empty()) {
+            holder.onOfferClosed(offer.jobId, Milliseconds{now});
+            return;
+        }
+        auto &other = *m_holders[number];
+        post(other, [this, &holder, &other, offer, number] {
+            const auto started =
+                other.startOffered(offer, addressOf(holder), Milliseconds{now}).started;
+            for (const auto &key : started)
+                m_homes[key] = &holder;
+            post(holder, [this, &holder, &other, offer, number, started] {
+                auto rest = offer;
+                std::erase_if(rest.runs, [&](const OfferedRun &it) {
+                    return std::ranges::find(started, it.key) != started.end();
+                });
+                if (holder.hasJob(offer.jobId))
+                    holder.onOfferedRunsStarted(offer.jobId, addressOf(other), started,
+                                                Milliseconds{now});
+                else
+                    post(other, [this, &holder, &other, started] {
+                        other.stopOffered(started, addressOf(holder), Milliseconds{now});
+                    });
+                sendOffer(holder, rest, number + 1);
+            });
+        });
     }
 
     void checkDoubleRuns()
@@ -375,6 +456,7 @@
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, SimulatedInstance> m_instances;
     std::vector<std::unique_ptr<RunScheduler>> m_holders;
+    std::map<RunKey, RunScheduler *> m_homes; ///< Holders that have the jobs of offered runs.
     std::multimap<double, std::function<void()>> m_messages;
 };
 
--- a/test/FleetProcesses.h
+++ b/test/FleetProcesses.h
@@ -305,13 +305,19 @@
         return submitTo("/q/", entry, jobId, timeout);
     }
 
+    /// Submits a job of that many tasks.
+    int submitWide(std::size_t entry, const std::string &jobId, int tasks) const
+    {
+        return submitTo("/q/", entry, jobId, Milliseconds{10'000}, tasks);
+    }
+
     int submitTo(const std::string &prefix, std::size_t entry, const std::string &jobId,
-                 Milliseconds timeout = Milliseconds{10'000}) const
+                 Milliseconds timeout = Milliseconds{10'000}, int tasks = 3) const
     {
-        auto request = makeRequest(
-            "POST", prefix + jobId,
-            R"({"spec":"x","best_effort":true,"phases":[{"count":3,"cpu":14000,"mem_mb":64,)"
-            R"("estimated_ms":50}]})");
+        auto request = makeRequest("POST", prefix + jobId,
+                                   R"({"spec":"x","best_effort":true,"phases":[{"count":)"
+                                       + std::to_string(tasks)
+                                       + R"(,"cpu":14000,"mem_mb":64,"estimated_ms":50}]})");
         request.headers["host"] = "h.example";
         return statusOf(callHttp(callers[entry], request, timeout));
     }
--- a/test/correctness/FleetProcessTest.cpp
+++ b/test/correctness/FleetProcessTest.cpp
@@ -94,3 +94,24 @@
     fleet.kill("control-0");
     CHECK(fleet.callAnyControl("GET").body == Configuration);
 }
+
+// Guards against a job that is refused, or runs in several rounds, because it is wider than one
+// cell while other cells have room.
+TEST_CASE("a job that is wider than a cell runs on two cells", "[fleet][process]")
+{
+    Fleet fleet;
+    SimulatedInstances instances(30);
+    REQUIRE(fleet.awaitReady(instances));
+    REQUIRE(waitUntil([&] {
+        return instances.report(fleet.controls()[0])
+            && fleet.hasLogLine("entry-0", {"cell-held", "cell=north/1"});
+    }));
+    const std::string jobId = "00000000000000b1";
+    CHECK(waitUntil([&] {
+        return instances.report(fleet.controls()[0]) && fleet.submitWide(0, jobId, 50) == 200;
+    }));
+    CHECK(waitUntil([&] {
+        return fleet.hasLogLine("entry-0", {"job-offered", jobId})
+            || fleet.hasLogLine("entry-1", {"job-offered", jobId});
+    }));
+}
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -48,7 +48,7 @@
     FleetSimulation world(6, {}, 1);
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
-    (void)holder.submit(makeJob("job", "quick", 8, 60), {}, false, Milliseconds{world.now});
+    holder.submit(makeJob("job", "quick", 8, 60), {}, Milliseconds{world.now});
     world.run(200);
     REQUIRE(world.outcomes.contains("job"));
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
@@ -63,7 +63,7 @@
     job.steps.push_back(job.steps.front());
     job.steps.back().dependsOn = {0};
     world.run(20);
-    (void)holder.submit(job, {}, false, Milliseconds{world.now});
+    holder.submit(job, {}, Milliseconds{world.now});
     world.run(60);
     for (const auto &[id, instance] : world.instances()) {
         for (const auto &run : instance.running())
@@ -81,7 +81,7 @@
     world.run(20);
     auto job = makeJob("job", "quick", 1, 60);
     job.steps.front().demand.cpuMillicores = 64'000;
-    (void)holder.submit(job, {}, false, Milliseconds{world.now});
+    holder.submit(job, {}, Milliseconds{world.now});
     world.run(22);
     REQUIRE(world.outcomes.contains("job"));
     CHECK(world.outcomes.at("job").verdict == JobVerdict::NotRun);
@@ -92,7 +92,7 @@
     FleetSimulation world(3, {}, 1);
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
-    (void)holder.submit(makeJob("job", "gone", 1, 60), {}, false, Milliseconds{world.now});
+    holder.submit(makeJob("job", "gone", 1, 60), {}, Milliseconds{world.now});
     world.run(22);
     REQUIRE(world.outcomes.contains("job"));
     CHECK(world.outcomes.at("job").reason == "unknown-queue");
@@ -105,13 +105,13 @@
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
     const auto job = makeJob("job", "quick", 4, 60);
-    (void)holder.submit(job, "entry/1", false, Milliseconds{world.now});
+    holder.submit(job, "entry/1", Milliseconds{world.now});
     world.run(40);
-    (void)holder.submit(job, "entry/2", false, Milliseconds{world.now});
+    holder.submit(job, "entry/2", Milliseconds{world.now});
     world.run(200);
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
     world.outcomes.clear();
-    (void)holder.submit(job, "entry/2", false, Milliseconds{world.now});
+    holder.submit(job, "entry/2", Milliseconds{world.now});
     world.run(210);
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
     for (const auto &[id, instance] : world.instances())
@@ -124,7 +124,7 @@
     world.runTime = [](const std::string &) { return 3'000; };
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
-    (void)holder.submit(makeJob("job", "long", 4, 900), {}, false, Milliseconds{world.now});
+    holder.submit(makeJob("job", "long", 4, 900), {}, Milliseconds{world.now});
     world.run(60);
     holder.cancel("job", {}, Milliseconds{world.now});
     world.run(80);
@@ -139,7 +139,7 @@
     world.runTime = [](const std::string &) { return 5'000; };
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
-    (void)holder.submit(makeJob("job", "long", 4, 900), "entry/1", false, Milliseconds{world.now});
+    holder.submit(makeJob("job", "long", 4, 900), "entry/1", Milliseconds{world.now});
     constexpr double ResendAfterMs = 1'300;
     world.run(20 + ResendAfterMs);
     for (const auto &[id, instance] : world.instances())
@@ -154,7 +154,7 @@
     FleetSimulation world(6, faults, 1);
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
-    (void)holder.submit(makeJob("job", "quick", 1, 60), {}, false, Milliseconds{world.now});
+    holder.submit(makeJob("job", "quick", 1, 60), {}, Milliseconds{world.now});
     world.run(21 + 2 * 60);
     CHECK_FALSE(world.outcomes.contains("job"));
     world.run(2'000);
@@ -180,9 +180,9 @@
         if (std::uniform_real_distribution<>(0, 1'000)(random) >= perSecond)
             return;
         ++sent[queue];
-        (void)holder.submit(makeJob(queue + std::to_string(++serial), queue, tasks,
-                                    static_cast<std::uint32_t>(runTimes.at(queue))),
-                            {}, false, Milliseconds{world.now});
+        holder.submit(makeJob(queue + std::to_string(++serial), queue, tasks,
+                              static_cast<std::uint32_t>(runTimes.at(queue))),
+                      {}, Milliseconds{world.now});
     };
     while (world.now < 6'000) {
         arrive("quick", 10, 8);
@@ -223,9 +223,9 @@
     int serial = 0;
     while (world.now < 8'000) {
         if (random() % 60 == 0)
-            (void)holder.submit(makeJob("job" + std::to_string(++serial), "long",
-                                        1 + static_cast<std::uint32_t>(random() % 4), 200),
-                                {}, false, Milliseconds{world.now});
+            holder.submit(makeJob("job" + std::to_string(++serial), "long",
+                                  1 + static_cast<std::uint32_t>(random() % 4), 200),
+                          {}, Milliseconds{world.now});
         if (random() % 400 == 0 && serial > 0)
             holder.cancel("job" + std::to_string(1 + random() % serial), {},
                           Milliseconds{world.now});
@@ -248,14 +248,14 @@
     auto &first = world.addHolder(1, makeConfiguration());
     world.run(30);
     const auto job = makeJob("job", "long", 8, 700);
-    (void)first.submit(job, "entry/1", false, Milliseconds{world.now});
+    first.submit(job, "entry/1", Milliseconds{world.now});
     world.run(100 + seed * 20.0);
     world.paused.insert(&first);
     // The control group replaces an unreachable holder, and the caller resubmits the job.
     world.run(world.now + 900);
     auto &second = world.addHolder(2, makeConfiguration());
     world.run(world.now + 400);
-    (void)second.submit(job, "entry/2", false, Milliseconds{world.now});
+    second.submit(job, "entry/2", Milliseconds{world.now});
     world.run(world.now + 300);
     world.paused.clear();
     while (world.now < 6'000) {
@@ -284,7 +284,7 @@
         if (static_cast<int>(world.now) % 50 == 0 && world.now < 5'500) {
             const auto id = "quick" + std::to_string(++serial);
             sentAt[id] = world.now;
-            (void)holder.submit(makeJob(id, "quick", 8, 60), {}, false, Milliseconds{world.now});
+            holder.submit(makeJob(id, "quick", 8, 60), {}, Milliseconds{world.now});
         }
         world.run(world.now + 1);
         for (const auto &[id, outcome] : world.outcomes) {
@@ -300,29 +300,115 @@
     CHECK(inTime * 10 >= serial * 8);
 }
 
-TEST_CASE("a job that was offered to another cell is cancelled there too", "[scheduler]")
+TEST_CASE("a job that fits no cell alone starts across cells at once", "[scheduler][pattern]")
 {
-    // Guards against a copy that runs on at the other cell after its caller has disconnected or its
+    // The load: wide jobs of short tasks arrive while each cell has a few free slots, but none has
+    // as many as the job has tasks.
+    FleetSimulation world(8, {}, 1);
+    world.offersRuns = true;
+    auto &first = world.addHolder(1, makeConfiguration(), 0, 4);
+    (void)world.addHolder(1, makeConfiguration(), 4, 4);
+    world.run(50);
+    constexpr std::size_t Tasks = 14;
+    first.submit(makeJob("wide", "quick", Tasks, 60), {}, Milliseconds{world.now});
+    std::size_t mostRunning = 0;
+    for (int n = 0; n < 1'000 && !world.outcomes.contains("wide"); ++n) {
+        world.run(world.now + 1);
+        std::size_t running = 0;
+        for (const auto &[id, instance] : world.instances())
+            running += instance.running().size();
+        mostRunning = std::max(mostRunning, running);
+    }
+    REQUIRE(world.outcomes.contains("wide"));
+    CHECK(world.outcomes.at("wide").verdict == JobVerdict::Completed);
+    CHECK(mostRunning == Tasks);
+    CHECK(world.doubleRuns == 0);
+}
+
+TEST_CASE("runs at another cell are stopped when their job ends or its holder is lost",
+          "[scheduler]")
+{
+    // Guards against a copy that runs on at the other cell after the caller has disconnected or the
     // requester was lost, when the caller may have resent the job to a third cell.
-    const bool isRequesterLost = GENERATE(true, false);
-    CAPTURE(isRequesterLost);
-    FleetSimulation world(1, {}, 1);
-    auto &holder = world.addHolder(1, makeConfiguration());
-    world.run(20);
-    (void)holder.submit(makeJob("first", "long", 2, 900), "entry/1", false,
-                        Milliseconds{world.now});
-    (void)holder.submit(makeJob("second", "long", 2, 900), "entry/1", false,
-                        Milliseconds{world.now});
-    holder.advance(Milliseconds{world.now});
-    REQUIRE(holder.takeOffers(Milliseconds{world.now}).size() == 1);
-    CHECK(holder.takeCancelledOffers().empty());
-    if (isRequesterLost)
-        holder.advance(Milliseconds{world.now + 400});
-    if (isRequesterLost)
-        holder.advance(Milliseconds{world.now + 800});
-    else
-        holder.cancel("second", "entry/1", Milliseconds{world.now});
-    CHECK(holder.takeCancelledOffers() == std::vector<std::string>{"second"});
+    const auto *cause = GENERATE("cancelled", "requester lost", "holder lost", "holder paused");
+    CAPTURE(cause);
+    FleetSimulation world(8, {}, 1);
+    world.offersRuns = true;
+    world.runTime = [](const std::string &) { return 5'000; };
+    auto &first = world.addHolder(1, makeConfiguration(), 0, 4);
+    auto &second = world.addHolder(1, makeConfiguration(), 4, 4);
+    world.run(50);
+    first.submit(makeJob("wide", "long", 14, 900), "entry/1", Milliseconds{world.now});
+    world.run(100);
+    REQUIRE(second.acceptedRunCount() > 0);
+    const std::string_view how = cause;
+    if (how == "cancelled")
+        first.cancel("wide", "entry/1", Milliseconds{world.now});
+    if (how == "holder lost")
+        world.paused.insert(&first);
+    if (how == "holder paused")
+        world.paused.insert(&second);
+    constexpr double ResentAfterMs = 1'300;
+    const auto until = world.now + ResentAfterMs;
+    while (world.now < until) {
+        if (how == "holder lost" || how == "holder paused")
+            first.onRequesterContact("entry/1", Milliseconds{world.now});
+        world.run(world.now + 10);
+    }
+    std::size_t running = 0;
+    for (const auto &[id, instance] : world.instances()) {
+        const bool isSecond = std::stoul(id.substr(id.find('-') + 1)) >= 4;
+        running += isSecond ? instance.running().size() : 0;
+    }
+    CHECK(running == 0);
+}
+
+TEST_CASE("no task runs twice when cells exchange runs under generated faults",
+          "[scheduler][generated]")
+{
+    const auto seed = GENERATE(range(1, 13));
+    CAPTURE(seed);
+    FleetFaults faults;
+    faults.lostReplies = 0.03;
+    faults.delayedOrders = 0.03;
+    faults.slowClock = 0.02;
+    faults.maxDelayMs = 6;
+    faults.failingRuns = 0.02;
+    FleetSimulation world(9, faults, static_cast<std::uint64_t>(seed));
+    world.offersRuns = true;
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    world.runTime = [](const std::string &task) {
+        return 20.0 + static_cast<double>(std::hash<std::string>{}(task) % 400);
+    };
+    std::vector<RunScheduler *> holders;
+    for (std::size_t n = 0; n < 3; ++n)
+        holders.push_back(&world.addHolder(1, makeConfiguration(), 3 * n, 3));
+    int serial = 0;
+    double resumeAt = 0;
+    while (world.now < 8'000) {
+        auto &holder = *holders[random() % 3];
+        if (random() % 40 == 0 && !world.paused.contains(&holder))
+            holder.submit(makeJob("job" + std::to_string(++serial), "long",
+                                  1 + static_cast<std::uint32_t>(random() % 9), 200),
+                          {}, Milliseconds{world.now});
+        if (random() % 400 == 0 && serial > 0)
+            holder.cancel("job" + std::to_string(1 + random() % serial), {},
+                          Milliseconds{world.now});
+        if (random() % 1'500 == 0 && world.paused.empty()) {
+            world.paused.insert(&holder);
+            resumeAt = world.now + 100 + static_cast<double>(random() % 2'000);
+        }
+        if (world.now >= resumeAt)
+            world.paused.clear();
+        world.run(world.now + 1);
+    }
+    world.paused.clear();
+    world.run(24'000);
+    CHECK(world.doubleRuns == 0);
+    for (const auto *holder : holders) {
+        CHECK(holder->jobCount() == 0);
+        CHECK(holder->acceptedRunCount() == 0);
+    }
 }
 
 TEST_CASE("a late cancellation by an earlier requester does not stop the job", "[scheduler]")
@@ -332,9 +418,9 @@
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
     const auto job = makeJob("job", "quick", 4, 60);
-    (void)holder.submit(job, "entry/1", false, Milliseconds{world.now});
+    holder.submit(job, "entry/1", Milliseconds{world.now});
     world.run(30);
-    (void)holder.submit(job, "entry/2", false, Milliseconds{world.now});
+    holder.submit(job, "entry/2", Milliseconds{world.now});
     holder.cancel("job", "entry/1", Milliseconds{world.now});
     world.run(200);
     REQUIRE(world.outcomes.contains("job"));
@@ -350,11 +436,11 @@
     auto &holder = world.addHolder(1, makeConfiguration());
     world.run(20);
     for (const auto *id : {"first", "second", "third"}) {
-        (void)holder.submit(makeJob(id, "quick", 2, 60), {}, false, Milliseconds{world.now});
+        holder.submit(makeJob(id, "quick", 2, 60), {}, Milliseconds{world.now});
         world.run(world.now + 100);
         REQUIRE(world.outcomes.contains(id));
     }
-    (void)holder.submit(makeJob("third", "quick", 2, 60), {}, false, Milliseconds{world.now});
+    holder.submit(makeJob("third", "quick", 2, 60), {}, Milliseconds{world.now});
     CHECK(holder.jobCount() == 0);
     REQUIRE(holder.takeResults().size() == 1);
 }
@@ -374,7 +460,7 @@
     auto &second = world.addHolder(1, makeConfiguration(), 3, 3);
     world.run(30);
     const auto job = makeJob("job", "long", 4, 900);
-    (void)first.submit(job, "entry/1", false, Milliseconds{world.now});
+    first.submit(job, "entry/1", Milliseconds{world.now});
     world.run(100);
     const auto pausedAt = world.now;
     world.paused.insert(&first);
@@ -384,7 +470,7 @@
         if (world.now - pausedAt >= pauseMs && world.paused.erase(&first) > 0)
             first.onRequesterContact("entry/1", Milliseconds{world.now});
         if (world.now - pausedAt >= ResentAfterMs && !std::exchange(isResent, true))
-            (void)second.submit(job, "entry/2", false, Milliseconds{world.now});
+            second.submit(job, "entry/2", Milliseconds{world.now});
         second.onRequesterContact("entry/2", Milliseconds{world.now});
         world.run(world.now + 10);
     }
