Log each answer to an operator's change

Change: configuration-answered with version, result, version in force, leader and duration, at the instance that answered.

--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -115,6 +115,8 @@
     void onStore(const std::string &payload, const RpcReply &reply);
     void onRead(const RpcReply &reply);
     /// Forwards an operator's request to the leader.
+    /// Returns a callback that also logs the answer to an operator's change.
+    [[nodiscard]] OperatorCallback logAnswer(std::uint64_t version, OperatorCallback callback);
     void forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback);
     void storeAsLeader(StoredDocument document, OperatorCallback callback);
     void readAsLeader(OperatorCallback callback);
--- a/src/FleetControlOperator.cpp
+++ b/src/FleetControlOperator.cpp
@@ -75,9 +75,25 @@
     });
 }
 
+OperatorCallback FleetControl::logAnswer(std::uint64_t version, OperatorCallback callback)
+{
+    return [self = shared_from_this(), version, since = m_clock.now(),
+            callback = std::move(callback)](const OperatorResponse &response) {
+        const auto *leader = self->m_node->leader();
+        Log::info(LogEvent::ConfigurationAnswered)
+            .kv("version", version)
+            .kv("result", response.isDone ? "acknowledged" : "unknown")
+            .kv("inForce", self->m_node->state().document().version)
+            .kv("leader", leader ? leader->address : "")
+            .kv("ms", (self->m_clock.now() - since).count());
+        callback(response);
+    };
+}
+
 void FleetControl::storeDocument(const FleetConfiguration &configuration, std::string text,
                                  OperatorCallback callback)
 {
+    callback = logAnswer(configuration.version, std::move(callback));
     StoredDocument document{configuration.version, std::move(text), encodeMessage(configuration)};
     Asio::dispatch(m_node->strand(),
                    [self = shared_from_this(), document = std::move(document),
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -20,6 +20,7 @@
     CellHeld,
     ChangeAnswered,
     ChangeReceived,
+    ConfigurationAnswered,
     ConfigurationInForce,
     ConfigurationNotFetched,
     ConfigurationRefused,
