Retry connections to control instances soon after a start

Cause: an entry that starts before the control instances sends its opening packet into the void; the packet is resent only after a second, and the entry gave up each attempt after 300 ms.

Change: while no control instance has ever replied, the first ten attempts of each take 60 ms with 20 ms between them, later ones the full 300 ms, for distant members. The schedule is a function without I/O (ConnectRetry).

--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -56,8 +56,11 @@
 void ControlWatch::watch(const std::string &address)
 {
     auto &source = m_sources.at(address);
-    if (!source.client)
-        source.client = RpcClient::make(m_io, Address::parse(address).value(), m_settings.rpc);
+    if (!source.client) {
+        auto rpc = m_settings.rpc;
+        rpc.connectTimeout = nextAttempt(source).timeout;
+        source.client = RpcClient::make(m_io, Address::parse(address).value(), rpc);
+    }
     const auto wait = source.isLeader ? m_settings.leaderWait : m_settings.followerWait;
     WatchFleetRequest request;
     request.entry = m_settings.self;
@@ -99,8 +102,10 @@
             return;
         }
         retryLater(address);
+        ++source.failures;
         return;
     }
+    source.failures = 0;
     const auto update = decodeMessage<FleetUpdate>(std::get<std::string>(result));
     if (!update) {
         Log::warning(LogEvent::MessageUnreadable).kv("address", address);
@@ -221,10 +226,15 @@
     return m_updatedAt && *m_updatedAt - source.namedAt > m_settings.addressRetention;
 }
 
+ConnectAttempt ControlWatch::nextAttempt(const Source &source) const
+{
+    return connectAttempt(m_settings.connect, source.failures, !m_updatedAt);
+}
+
 void ControlWatch::retryLater(const std::string &address)
 {
     auto &timer = *m_sources.at(address).timer;
-    timer.expires_after(toChrono(m_updatedAt ? m_settings.retryDelay : m_settings.startRetryDelay));
+    timer.expires_after(toChrono(nextAttempt(m_sources.at(address)).retryDelay));
     timer.async_wait([self = shared_from_this(), address](const boost::system::error_code &ec) {
         if (!ec)
             self->watch(address);
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "CellMap.h"
+#include "ConnectRetry.h"
 #include "FleetProtocol.h"
 #include "InstanceDirectory.h"
 #include "RpcClient.h"
@@ -40,10 +41,7 @@
     Milliseconds followerWait{900};
     /// Margin for a reply beyond the wait, after which the connection counts as broken.
     Milliseconds replyMargin{500};
-    Milliseconds retryDelay{250};
-    /// The same while no member has ever replied: after a restart of all processes, members start
-    /// to listen a little later than entries.
-    Milliseconds startRetryDelay{50};
+    ConnectRetrySettings connect; ///< Replaces rpc.connectTimeout.
     /// A member that has not sent the configuration within this time is not waited for any longer.
     /// Doubles with each failure in a row, because a large one takes long over a slow link.
     Milliseconds fetchTimeout{700};
@@ -83,11 +81,13 @@
         std::uint64_t documentVersion = 0; ///< Newest version that it has announced.
         bool isLeader = false;
         bool isConnected = true;
+        int failures = 0; ///< Consecutive polls without a reply.
         Milliseconds namedAt; ///< When the settings or a member last named it.
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
     void watch(const std::string &address);
+    [[nodiscard]] ConnectAttempt nextAttempt(const Source &source) const;
     void onResult(const std::string &address, const RpcResult &result);
     void onUpdate(Source &source, const FleetUpdate &update);
     /// Fetches the newest announced configuration unless that is in progress. Prefers other members
--- a/test/correctness/ControlWatchTest.cpp
+++ b/test/correctness/ControlWatchTest.cpp
@@ -140,7 +140,7 @@
     ControlWatchSettings settings;
     settings.rpc = makeRpc("entry");
     settings.seeds = {present.toString(), replaced.toString(), down.toString()};
-    settings.retryDelay = Milliseconds{5};
+    settings.connect.retryDelay = Milliseconds{5};
     settings.addressRetention = Milliseconds{100};
     const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
     watch->start();
