--- a/test/error/PlatformMessageErrorTest.cpp
+++ b/test/error/PlatformMessageErrorTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 using namespace Camphor;
@@ -105,6 +107,23 @@
     CHECK(gang.value().unsupported == "gang");
 }
 
+TEST_CASE("a number that is too large for its field does not become a smaller one", "[platform]")
+{
+    // 2^32 + 4 tasks must not run as 4, and a demand of 2^63 must not become negative, which would
+    // fit on every instance.
+    CHECK_FALSE(decodeJob("0123456789abcdef", "q",
+                          replaced(Job, R"("count":4)", R"("count":4294967300)")));
+    const auto large = decodeJob("0123456789abcdef", "q",
+                                 replaced(Job, R"("cpu":500)", R"("cpu":9223372036854775808)"));
+    REQUIRE(large);
+    CHECK_FALSE(large.value().job.steps.front().demand.fitsInto({16'000, 32'768, 0}));
+    const auto configuration = decodeConfiguration(
+        replaced(Configuration, R"("timeout_ms":1500)", R"("timeout_ms":4294967297)"));
+    REQUIRE(configuration);
+    CHECK(configuration.value().queues.front().timeoutMs
+          == std::numeric_limits<std::uint32_t>::max());
+}
+
 TEST_CASE("replies of instances become results, and an unreadable list counts as no reply",
           "[platform]")
 {
