Refuse jobs that waited too long before they reached a holder

Cause: the time that a caller waits at an entry without a configuration or a usable holder was not counted.

Change: a submission carries the time since the caller's request arrived. A job that cannot meet its objective any more is refused as not run, with a time to come back; the others keep their real deadlines.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -207,7 +207,7 @@
         return;
     }
     pending.job = job;
-    pending.submittedAt = m_clock.now();
+    pending.arrivedAt = m_clock.now() - Milliseconds{job.waitedMs};
     route(job.id);
 }
 
@@ -265,6 +265,7 @@
         return;
     }
     pending.tried.push_back(grant->address);
+    pending.job.waitedMs = (m_clock.now() - pending.arrivedAt).count();
     const bool isLocal = isOwn(*grant);
     pending.address = isLocal ? std::string() : grant->address;
     Log::decision(LogEvent::JobRouted)
@@ -305,21 +306,22 @@
     });
 }
 
-void FleetEntry::whenConfigured(std::function<void()> callback)
+void FleetEntry::whenConfigured(std::function<void(Milliseconds waited)> callback)
 {
     const bool mayWait =
         !m_configuration && isStarting() && m_startWaiters.size() < m_settings.maxStartWaiters;
     if (!mayWait) {
-        callback();
+        callback(Milliseconds{0});
         return;
     }
-    m_startWaiters.push_back(std::move(callback));
+    m_startWaiters.push_back({m_clock.now(), std::move(callback)});
 }
 
 void FleetEntry::releaseStartWaiters()
 {
-    for (const auto &callback : std::exchange(m_startWaiters, {}))
-        callback();
+    const auto now = m_clock.now();
+    for (const auto &[since, callback] : std::exchange(m_startWaiters, {}))
+        callback(now - since);
 }
 
 void FleetEntry::onForwardResult(const std::string &jobId,
@@ -354,8 +356,8 @@
         .kv("queue", pending.job.queue)
         .kv("verdict", jobVerdictName(outcome.verdict))
         .kv("reason", outcome.reason)
-        .kv("ms", (m_clock.now() - pending.submittedAt).count());
-    m_metrics.countJob(pending.job.queue, outcome.verdict, m_clock.now() - pending.submittedAt);
+        .kv("ms", (m_clock.now() - pending.arrivedAt).count());
+    m_metrics.countJob(pending.job.queue, outcome.verdict, m_clock.now() - pending.arrivedAt);
     for (const auto &callback : pending.callbacks)
         callback(outcome);
 }
@@ -368,7 +370,7 @@
     const auto &pending = node.mapped();
     Log::decision(LogEvent::JobAbandoned)
         .kv("request", jobId)
-        .kv("ms", (m_clock.now() - pending.submittedAt).count());
+        .kv("ms", (m_clock.now() - pending.arrivedAt).count());
     if (!pending.address.empty()) {
         m_link->cancel(pending.address, jobId);
         return;
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -55,9 +55,9 @@
 
     /// The configuration in force, or null while none is known.
     [[nodiscard]] const FleetConfiguration *configuration() const { return m_configuration.get(); }
-    /// Calls back when a configuration is known. Does not wait for one after startGrace, or if
-    /// maxStartWaiters callers already wait.
-    void whenConfigured(std::function<void()> callback);
+    /// Calls back when a configuration is known, with the time that it took. Does not wait for one
+    /// after startGrace, or if maxStartWaiters callers already wait.
+    void whenConfigured(std::function<void(Milliseconds waited)> callback);
     /// Runs a job; calls back when it has ended or was refused. Joins a job with the same id that
     /// is in progress here.
     void submit(const FleetJob &job, OutcomeCallback callback);
@@ -89,7 +89,14 @@
         std::vector<OutcomeCallback> callbacks;
         std::vector<std::string> tried; ///< Addresses of holders that were tried.
         std::string address; ///< Address of the holder that has the job; empty for this entry.
-        Milliseconds submittedAt;
+        Milliseconds arrivedAt; ///< When the caller's request arrived.
+    };
+
+    /// A caller that waits for the first configuration.
+    struct StartWaiter
+    {
+        Milliseconds since;
+        std::function<void(Milliseconds waited)> callback;
     };
 
     FleetEntry(boost::asio::io_context &io, FleetEntrySettings settings,
@@ -165,7 +172,7 @@
     bool m_hasStoppedAccepting = false;
     Milliseconds m_leavingSince;
     Milliseconds m_startedAt = m_clock.now();
-    std::vector<std::function<void()>> m_startWaiters;
+    std::vector<StartWaiter> m_startWaiters;
 };
 
 } // namespace Camphor
--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -179,13 +179,15 @@
     std::string queue;
     std::string payload; ///< Passed to each task unchanged.
     std::vector<JobStep> steps;
+    /// Milliseconds that the caller has already waited when the job is submitted to a holder.
+    double waitedMs = 0;
 
     auto operator<=>(const FleetJob &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(id, queue, payload, steps);
+        archive(id, queue, payload, steps, waitedMs);
     }
 };
 
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t ExtraRuns = 6;
 /// Retry delay for callers when there is no usable instance.
 constexpr std::uint32_t NoInstanceRetryMs = 1'000;
+/// Jobs reach their holder within this time unless something was down.
+constexpr Milliseconds MaxRoutineWait{25};
 /// Minimum retry delay for refused callers.
 constexpr std::uint32_t MinRetryMs = 500;
 
@@ -101,7 +103,8 @@
     pendingJob.job = job;
     pendingJob.rule = rule;
     pendingJob.requester = requester;
-    pendingJob.arrivedAt = pendingJob.nextOfferAt = now;
+    pendingJob.arrivedAt = now - Milliseconds{job.waitedMs};
+    pendingJob.nextOfferAt = now;
     std::vector<Milliseconds> pathLengths;
     Milliseconds criticalPath{0};
     for (const auto &step : job.steps) {
@@ -114,9 +117,10 @@
         pendingJob.done.push_back(0);
     }
     const auto objective = criticalPath * rule.stretch + Milliseconds{double(rule.targetMs)};
-    pendingJob.responseDueAt = now + objective;
-    pendingJob.startDeadline =
-        now + std::min(objective - criticalPath, objective * m_settings.maxWaitShare);
+    pendingJob.responseDueAt = pendingJob.arrivedAt + objective;
+    pendingJob.latestStart = pendingJob.responseDueAt - criticalPath;
+    pendingJob.startDeadline = std::min(pendingJob.latestStart,
+                                        pendingJob.arrivedAt + objective * m_settings.maxWaitShare);
     pendingJob.hasEarlierRuns = std::ranges::any_of(
         m_instances, [&](const auto &it) { return it.second.runsWithPrefix(job.id + '.') > 0; });
     return pendingJob;
@@ -167,6 +171,11 @@
         m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance-can-hold-a-task", 0}});
         return;
     }
+    // After an outage, the jobs that have waited for its end would delay all that follow.
+    if (Milliseconds{job.waitedMs} > MaxRoutineWait && now > pendingJob.latestStart) {
+        m_results.push_back({job.id, {JobVerdict::NotRun, "waited-too-long", MinRetryMs}});
+        return;
+    }
     raiseVirtualTime(job.queue);
     m_jobs.emplace(job.id, std::move(pendingJob));
 }
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -181,6 +181,7 @@
         std::string requester;
         Milliseconds arrivedAt;
         Milliseconds responseDueAt; ///< Latency objective: the response is due by then.
+        Milliseconds latestStart; ///< A start after this cannot meet the objective.
         Milliseconds startDeadline; ///< The job is refused unless it has started by then.
         Milliseconds nextOfferAt;
         bool hasStarted = false;
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -114,7 +114,7 @@
     // control group.
     World world(Hour);
     bool isCalled = false;
-    world.entry->whenConfigured([&] { isCalled = true; });
+    world.entry->whenConfigured([&](Milliseconds) { isCalled = true; });
     world.runAWhile();
     CHECK_FALSE(isCalled);
     world.startControl(false);
@@ -126,7 +126,7 @@
 {
     World world(Milliseconds{0});
     bool isCalled = false;
-    world.entry->whenConfigured([&] { isCalled = true; });
+    world.entry->whenConfigured([&](Milliseconds) { isCalled = true; });
     CHECK(isCalled);
     CHECK(world.entry->configuration() == nullptr);
 }
@@ -136,7 +136,7 @@
     World world(Hour);
     std::size_t called = 0;
     for (std::size_t n = 0; n < world.settings.maxStartWaiters + 5; ++n)
-        world.entry->whenConfigured([&] { ++called; });
+        world.entry->whenConfigured([&](Milliseconds) { ++called; });
     CHECK(called == 5);
 }
 
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -203,6 +203,57 @@
     CHECK(world.doubleRuns == 0);
 }
 
+TEST_CASE("jobs that waited for the end of an outage do not delay those that follow",
+          "[scheduler][pattern]")
+{
+    // The load: after all machines lost power, the jobs of the last second arrive at once, and more
+    // at the normal rate, which takes about half of the instances.
+    constexpr double OutageMs = 1'000;
+    constexpr double ObjectiveMs = 200 * 1.6 + 60;
+    FleetSimulation world(16, {}, 3);
+    world.runTime = [](const std::string &) { return 200; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    std::mt19937_64 random(5);
+    std::map<std::string, double> arrivedAt;
+    using Arrival = std::pair<const std::string, double>;
+    const auto submit = [&](double waitedMs) {
+        auto job = makeJob("job" + std::to_string(arrivedAt.size()), "pair", 2, 200);
+        job.waitedMs = waitedMs;
+        arrivedAt[job.id] = world.now - waitedMs;
+        holder.submit(job, {}, Milliseconds{world.now});
+    };
+    const auto isArrival = [&] { return random() % 20 == 0; };
+    for (double waitedMs = OutageMs; waitedMs > 0; waitedMs -= 1) {
+        if (isArrival())
+            submit(waitedMs);
+    }
+    std::map<std::string, double> endedAt;
+    const auto outageEnd = world.now;
+    for (const auto end = outageEnd + 600; world.now < end;) {
+        if (isArrival())
+            submit(0);
+        world.run(world.now + 1);
+        for (const auto &[id, outcome] : world.outcomes) {
+            if (outcome.verdict == JobVerdict::Completed)
+                endedAt.emplace(id, world.now);
+        }
+    }
+    const auto isAfterOutage = [&](const std::string &id) {
+        return arrivedAt.at(id) >= outageEnd && arrivedAt.at(id) < outageEnd + 300;
+    };
+    const auto isInTime = [&](const auto &it) {
+        return isAfterOutage(it.first) && it.second - arrivedAt.at(it.first) <= ObjectiveMs;
+    };
+    const auto arrived = std::ranges::count_if(arrivedAt, isAfterOutage, &Arrival::first);
+    const auto inTime = std::ranges::count_if(endedAt, isInTime);
+    CAPTURE(arrived, inTime);
+    CHECK(inTime * 10 >= arrived * 9);
+    CHECK(std::ranges::none_of(world.outcomes, [](const auto &it) {
+        return it.second.verdict == JobVerdict::Unknown || it.second.verdict == JobVerdict::Failed;
+    }));
+}
+
 TEST_CASE("no task runs twice under generated faults", "[scheduler][generated]")
 {
     // Lost replies, delayed orders, overtaking messages and clocks that are 2% slow.
