--- a/test/error/PlatformMessageErrorTest.cpp
+++ b/test/error/PlatformMessageErrorTest.cpp
@@ -111,8 +111,8 @@
 {
     // 2^32 + 4 tasks must not run as 4, and a demand of 2^63 must not become negative, which would
     // fit on every instance.
-    CHECK_FALSE(decodeJob("0123456789abcdef", "q",
-                          replaced(Job, R"("count":4)", R"("count":4294967300)")));
+    CHECK_FALSE(
+        decodeJob("0123456789abcdef", "q", replaced(Job, R"("count":4)", R"("count":4294967300)")));
     const auto large = decodeJob("0123456789abcdef", "q",
                                  replaced(Job, R"("cpu":500)", R"("cpu":9223372036854775808)"));
     REQUIRE(large);
