--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 	tools/install-packages $(PACKAGES)
 
 build:
-	cmake -S . -B $(RELEASE) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake -S . -B $(RELEASE) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	    -DCAMPHOR_WARNINGS_AS_ERRORS=ON >/dev/null
 	cmake --build $(RELEASE) -j $(JOBS)
 
 format:
--- a/src/Http.h
+++ b/src/Http.h
@@ -51,7 +51,7 @@
     HttpHeaders headers;
     std::string body;
     /// Set by a server that detects disconnects of its callers; null otherwise.
-    std::shared_ptr<CallerConnection> caller;
+    std::shared_ptr<CallerConnection> caller = nullptr;
 
     /// Returns the value of a header (lower-case name), or an empty string.
     [[nodiscard]] std::string_view header(std::string_view name) const;
--- a/test/correctness/GroupMembershipTest.cpp
+++ b/test/correctness/GroupMembershipTest.cpp
@@ -105,7 +105,7 @@
     ControlState state;
     for (const auto &row : rows) {
         CAPTURE(row.version, row.text);
-        const auto reply = state.apply(StoreDocumentCommand{row.version, row.text});
+        const auto reply = state.apply(StoreDocumentCommand{{row.version, row.text, {}}});
         CHECK(reply.outcome == ControlOutcome::Accepted);
         CHECK(reply.currentVersion == row.expectedVersion);
         CHECK(state.document().text == row.expectedText);
