Reject processes of a fleet whose address cannot be called

Cause: control instances took the address in an entry's poll, and the addresses in a request to join the group, without reading them. A cell was then granted to an address such as "north", and every entry that routed a job to it threw an exception in HolderLink, which ends the process; a member with such an address was stored in the group's log, where ControlNode throws again after each restart.

Entries ignore grants that they cannot call, with a log line.

--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -200,6 +200,10 @@
     m_announcedVersion = std::max(m_announcedVersion, update.documentVersion);
     // A member that lags or was partitioned may have an older state; the view never goes back.
     for (const auto &grant : update.grants) {
+        if (!Address::parse(grant.address)) {
+            Log::warning(LogEvent::AddressUnreadable).kv("address", grant.address);
+            continue;
+        }
         auto &known = m_view.grants[grant.name()];
         if (grant.token <= known.token)
             continue;
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -4,6 +4,7 @@
 
 #include "FleetTypes.h"
 #include "RaftCore.h"
+#include "Result.h"
 #include "TextDelta.h"
 
 #include <cstdint>
@@ -44,6 +45,9 @@
     std::uint64_t lastToken = 0;
     std::uint32_t waitMs = 0;
 
+    /// Fails if the entry has no name, or an address that no other process can call.
+    [[nodiscard]] Status check() const;
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
@@ -105,6 +109,9 @@
 {
     RaftMember member;
 
+    /// Fails if the member has no name, or an address that no other process can call.
+    [[nodiscard]] Status check() const;
+
     template <typename Archive>
     void serialize(Archive &archive)
     {
--- a/test/correctness/ControlWatchTest.cpp
+++ b/test/correctness/ControlWatchTest.cpp
@@ -164,3 +164,35 @@
     io.restart();
     io.run();
 }
+
+TEST_CASE("a grant to a holder whose address cannot be called is ignored", "[watch]")
+{
+    // Guards against a malformed grant that ends every entry that wants to call the holder.
+    boost::asio::io_context io;
+    const Address address{"127.0.0.1", freePort()};
+    const auto control =
+        RpcServer::make(io, address, makeRpc("control"),
+                        [](const Hello &, MessageKind, const std::string &, const RpcReply &reply) {
+                            FleetUpdate update;
+                            update.grants.push_back(
+                                {"north", 0, 2, "entry-1", "127.0.0.1:7000", 1, 5});
+                            update.grants.push_back({"north", 1, 2, "entry-2", "unreadable", 1, 6});
+                            reply(encodeMessage(update));
+                        })
+            .value();
+    ControlWatchSettings settings;
+    settings.rpc = makeRpc("entry");
+    settings.seeds = {address.toString()};
+    const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
+    watch->start();
+    REQUIRE(waitUntil([&] {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(10));
+        return !watch->view().grants.empty();
+    }));
+    CHECK(watch->view().grants.size() == 1);
+    watch->stop();
+    control->stop();
+    io.restart();
+    io.run();
+}
