Test that the runs of an instance with late reports go on

Looked for: work that is started elsewhere or given up because its instance was silent towards the control group only. It does not happen: leases are renewed by the holder, which talks to the instance itself. The test passes without a change.

--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -254,6 +254,30 @@
     }));
 }
 
+TEST_CASE("the runs of an instance whose reports are late go on", "[scheduler]")
+{
+    // Guards against work that is started elsewhere, or given up, because its instance was only
+    // silent towards the control group.
+    FleetSimulation world(4, {}, 3);
+    world.runTime = [](const std::string &) { return 2'000; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    holder.submit(makeJob("job", "long", 4, 2'000), {}, Milliseconds{world.now});
+    world.run(200);
+    auto instances = world.known();
+    std::map<std::string, std::uint64_t> tokens;
+    for (auto &[id, report] : instances) {
+        report.state = InstanceState::Gone;
+        tokens[id] = 1;
+    }
+    holder.setInstances(instances, tokens, Milliseconds{world.now});
+    world.run(2'500);
+    REQUIRE(world.outcomes.contains("job"));
+    CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
+    CHECK(world.stoppedRuns == 0);
+    CHECK(world.doubleRuns == 0);
+}
+
 TEST_CASE("no task runs twice under generated faults", "[scheduler][generated]")
 {
     // Lost replies, delayed orders, overtaking messages and clocks that are 2% slow.
