--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 import standins  # noqa: E402
 
 ZONE = "ga-south-a"
-ROUNDS = 8
+ROUNDS = 10
 # As wide and as large as jobs of leaf-quote get: more than the workers of one zone hold.
 PHASES = [{"count": 32, "cpu": 20_000, "mem_mb": 64, "estimated_ms": 1_200}]
 WORK_MS = [1_200]
@@ -39,7 +39,7 @@
                 fleet.record.line("reset", job=job)
             await asyncio.sleep(standins.RESEND_MS / 1_000.0)
         await fleet.hand_in(ZONE, job, deadline_ms=4_500, attempts=1)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(1.0)
     for task in traffic:
         task.cancel()
     await asyncio.sleep(3.0)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -554,8 +554,8 @@
         for machine in self.controls + self.entries:
             machine.start(first_start=True)
         self.keep(asyncio.create_task(self.check_readiness()))
-        await self.wait_for(self.put_configuration, 20, "the first configuration was not accepted")
-        await self.wait_for(lambda: all(it.misses == 0 for it in self.entries), 20,
+        await self.wait_for(self.put_configuration, 15, "the first configuration was not accepted")
+        await self.wait_for(lambda: all(it.misses == 0 for it in self.entries), 15,
                             "not all entries became ready")
         # Workers and holders settle, and every machine is in touch.
         await asyncio.sleep(CONTACT_MS / 1_000.0 + 3.0)
@@ -692,7 +692,7 @@
         await fleet.start()
         record.line("ready")
         try:
-            async with asyncio.timeout(100):
+            async with asyncio.timeout(80):
                 return await case(fleet, trouble)
         finally:
             await fleet.stop()
