Tell the submissions of a job apart between holders

Cause: a run was known by its task's name and its number, and numbers begin at 1 again with each submission. Ends that the second holder had kept from the first submission answered the question for the runs of the second one (RunWaiters); the first holder took those for ended and started the tasks elsewhere. Replies, losses and stops of an earlier submission could change a later one in the same way (RunScheduler, RunOfferClient, FleetEntry).

Change: each submission has a number within its process (JobKey). Offers, ends, stops and results name it; accepted runs are known by requester, submission and run (AcceptedRunKey). A holder accepts no runs of a job that it has itself, and an offer is not passed on after its job has ended.

It works because a kept end can no longer have the name of a run of a later submission.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -208,7 +208,8 @@
     }
     pending.job = job;
     pending.arrivedAt = m_clock.now() - Milliseconds{job.waitedMs};
-    route(job.id);
+    pending.submission = ++m_lastSubmission;
+    route({job.id, pending.submission});
 }
 
 const CellGrant *FleetEntry::nextGrant(const std::vector<std::string> &tried, bool skipsFull)
@@ -254,14 +255,21 @@
     m_fullUntil[address] = m_clock.now() + m_settings.fullHolderBackoff;
 }
 
-void FleetEntry::route(const std::string &jobId)
+FleetEntry::PendingJob *FleetEntry::find(const JobKey &key)
 {
-    auto &pending = m_pendingJobs.at(jobId);
+    const auto it = m_pendingJobs.find(key.id);
+    const bool isPresent = it != m_pendingJobs.end() && it->second.submission == key.submission;
+    return isPresent ? &it->second : nullptr;
+}
+
+void FleetEntry::route(const JobKey &key)
+{
+    auto &pending = m_pendingJobs.at(key.id);
     const auto *grant = nextGrant(pending.tried, true);
     if (grant == nullptr)
         grant = nextGrant(pending.tried, false);
     if (grant == nullptr) {
-        onNoHolder(jobId);
+        onNoHolder(key);
         return;
     }
     pending.tried.push_back(grant->address);
@@ -269,20 +277,20 @@
     const bool isLocal = isOwn(*grant);
     pending.address = isLocal ? std::string() : grant->address;
     Log::decision(LogEvent::JobRouted)
-        .kv("request", jobId)
+        .kv("request", key.id)
         .kv("queue", pending.job.queue)
         .kv("cell", grant->name())
         .kv("holder", grant->holder)
         .kv("token", grant->token)
         .kv("configuration", m_configuration ? m_configuration->version : 0);
     if (isLocal) {
-        m_scheduler.submit(pending.job, {}, m_clock.now());
+        pending.scheduled = m_scheduler.submit(pending.job, {}, m_clock.now());
         schedule();
         return;
     }
-    m_link->submit(
-        grant->address, {pending.job},
-        [self = shared_from_this(), jobId](const auto &it) { self->onForwardResult(jobId, it); });
+    m_link->submit(grant->address, {pending.job}, [self = shared_from_this(), key](const auto &it) {
+        self->onForwardResult(key, it);
+    });
 }
 
 bool FleetEntry::isStarting() const
@@ -290,19 +298,19 @@
     return m_clock.now() - m_startedAt < m_settings.startGrace && !m_isLeaving;
 }
 
-void FleetEntry::onNoHolder(const std::string &jobId)
+void FleetEntry::onNoHolder(const JobKey &key)
 {
     if (!isStarting()) {
-        respond(jobId, notRun("no-holder", NoHolderRetryMs));
+        respond(key.id, notRun("no-holder", NoHolderRetryMs));
         return;
     }
     // No holder has accepted the job, so all of them may be tried again.
-    m_pendingJobs.at(jobId).tried.clear();
+    m_pendingJobs.at(key.id).tried.clear();
     auto timer =
         std::make_shared<boost::asio::steady_timer>(m_io, toChrono(m_settings.rerouteDelay));
-    timer->async_wait([self = shared_from_this(), timer, jobId](const boost::system::error_code &) {
-        if (self->m_pendingJobs.contains(jobId))
-            self->route(jobId);
+    timer->async_wait([self = shared_from_this(), timer, key](const boost::system::error_code &) {
+        if (self->find(key) != nullptr)
+            self->route(key);
     });
 }
 
@@ -324,23 +332,23 @@
         callback(now - since);
 }
 
-void FleetEntry::onForwardResult(const std::string &jobId,
+void FleetEntry::onForwardResult(const JobKey &key,
                                  const std::variant<JobOutcome, ForwardFailure> &it)
 {
-    if (!m_pendingJobs.contains(jobId))
+    if (find(key) == nullptr)
         return;
     if (const auto *failure = std::get_if<ForwardFailure>(&it)) {
         if (*failure == ForwardFailure::NotSent)
-            route(jobId);
+            route(key);
         else
-            respond(jobId, {JobVerdict::Unknown, "holder-lost", 0});
+            respond(key.id, {JobVerdict::Unknown, "holder-lost", 0});
         return;
     }
     const auto &outcome = std::get<JobOutcome>(it);
     if (outcome.verdict == JobVerdict::NotRun && outcome.reason == NotHolderReason)
-        route(jobId);
+        route(key);
     else
-        respond(jobId, outcome);
+        respond(key.id, outcome);
 }
 
 void FleetEntry::respond(const std::string &jobId, const JobOutcome &outcome)
@@ -404,7 +412,7 @@
     case MessageKind::OfferRuns:
         return onOfferRuns(requester, payload, reply);
     case MessageKind::AwaitRuns:
-        return onAwaitRuns(payload, reply);
+        return onAwaitRuns(requester, payload, reply);
     case MessageKind::StopRuns:
         return onStopRuns(requester, payload, reply);
     default:
@@ -426,14 +434,19 @@
     schedule();
 }
 
-void FleetEntry::onAwaitRuns(const std::string &payload, const RpcReply &reply)
+void FleetEntry::onAwaitRuns(const std::string &requester, const std::string &payload,
+                             const RpcReply &reply)
 {
     const auto request = decodeOrReject<AwaitRunsRequest>(payload, reply);
     if (!request)
         return;
+    std::vector<AcceptedRunKey> runs;
+    std::ranges::transform(request->runs, std::back_inserter(runs), [&](const RunKey &it) {
+        return AcceptedRunKey{requester, request->job.submission, it};
+    });
     m_waiters.await(
-        request->runs, [reply](const AwaitRunsReply &ended) { reply(encodeMessage(ended)); },
-        [this](const RunKey &key) { return m_scheduler.isRunningAccepted(key); });
+        runs, [reply](const AwaitRunsReply &ended) { reply(encodeMessage(ended)); },
+        [this](const AcceptedRunKey &key) { return m_scheduler.isRunningAccepted(key); });
 }
 
 void FleetEntry::onStopRuns(const std::string &requester, const std::string &payload,
@@ -442,7 +455,7 @@
     const auto request = decodeOrReject<StopRunsRequest>(payload, reply);
     if (!request)
         return;
-    m_scheduler.stopOffered(request->runs, requester, m_clock.now());
+    m_scheduler.stopOffered(*request, requester, m_clock.now());
     schedule();
     reply(std::string());
 }
@@ -457,9 +470,8 @@
         reply(encodeMessage(notRun(NotHolderReason, NoHolderRetryMs)));
         return;
     }
-    const auto &job = request->job;
-    m_scheduler.submit(job, requester, m_clock.now());
-    m_replies[job.id].push_back(reply);
+    const auto key = m_scheduler.submit(request->job, requester, m_clock.now());
+    m_replies[key].push_back(reply);
     schedule();
 }
 
@@ -527,14 +539,14 @@
 
 void FleetEntry::deliverResults()
 {
-    for (const auto &[jobId, outcome] : m_scheduler.takeResults()) {
-        if (const auto node = m_replies.extract(jobId); !node.empty()) {
+    for (const auto &[key, outcome] : m_scheduler.takeResults()) {
+        if (const auto node = m_replies.extract(key); !node.empty()) {
             for (const auto &reply : node.mapped())
                 reply(encodeMessage(outcome));
         }
-        const auto it = m_pendingJobs.find(jobId);
-        if (it != m_pendingJobs.end() && it->second.address.empty())
-            respond(jobId, outcome);
+        const auto it = m_pendingJobs.find(key.id);
+        if (it != m_pendingJobs.end() && it->second.scheduled == key)
+            respond(key.id, outcome);
     }
 }
 
@@ -542,8 +554,8 @@
 {
     for (const auto &stop : m_scheduler.takeRemoteStops())
         m_offers->stopRuns(stop);
-    for (const auto &outcome : m_scheduler.takeAcceptedEnds())
-        m_waiters.onEnd(outcome, now);
+    for (const auto &end : m_scheduler.takeAcceptedEnds())
+        m_waiters.onEnd(end, now);
     m_waiters.evict(now);
     for (auto &offer : m_scheduler.takeOffers(now))
         m_offers->offer(std::move(offer));
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -89,6 +89,10 @@
         std::vector<OutcomeCallback> callbacks;
         std::vector<std::string> tried; ///< Addresses of holders that were tried.
         std::string address; ///< Address of the holder that has the job; empty for this entry.
+        /// Identifies this submission, for what arrives after it has ended: the replies of holders,
+        /// and the results of the own scheduler.
+        std::uint64_t submission = 0;
+        JobKey scheduled; ///< Of the own scheduler, if it has the job.
         Milliseconds arrivedAt; ///< When the caller's request arrived.
     };
 
@@ -112,14 +116,15 @@
     [[nodiscard]] std::optional<std::string>
     nextHolder(const std::vector<std::string> &tried) override;
     void onHolderFull(const std::string &address) override;
-    void route(const std::string &jobId);
+    void route(const JobKey &key);
     /// No holder can be tried now: tries again later during the start grace period, and refuses the
     /// job after it.
-    void onNoHolder(const std::string &jobId);
+    void onNoHolder(const JobKey &key);
     [[nodiscard]] bool isStarting() const;
     void releaseStartWaiters();
-    void onForwardResult(const std::string &jobId,
-                         const std::variant<JobOutcome, ForwardFailure> &it);
+    /// The job of a caller, or null if this submission of it has ended.
+    [[nodiscard]] PendingJob *find(const JobKey &key);
+    void onForwardResult(const JobKey &key, const std::variant<JobOutcome, ForwardFailure> &it);
     void respond(const std::string &jobId, const JobOutcome &outcome);
 
     void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
@@ -135,7 +140,8 @@
     void makeOffers(Milliseconds now);
     void onOfferRuns(const std::string &requester, const std::string &payload,
                      const RpcReply &reply);
-    void onAwaitRuns(const std::string &payload, const RpcReply &reply);
+    void onAwaitRuns(const std::string &requester, const std::string &payload,
+                     const RpcReply &reply);
     void onStopRuns(const std::string &requester, const std::string &payload,
                     const RpcReply &reply);
     void logEvents();
@@ -160,8 +166,9 @@
     std::vector<std::string> m_heldCells; ///< Names of the cells that this entry holds.
     std::size_t m_roundRobin = 0; ///< Round-robin position that spreads jobs over the cells.
     std::map<std::string, PendingJob> m_pendingJobs;
-    /// Pending replies to other entries, by job.
-    std::map<std::string, std::vector<RpcReply>> m_replies;
+    std::uint64_t m_lastSubmission = 0;
+    /// Pending replies to other entries.
+    std::map<JobKey, std::vector<RpcReply>> m_replies;
     std::shared_ptr<RunOfferClient> m_offers;
     RunWaiters m_waiters; ///< Other holders that wait for runs which this entry has accepted.
     /// Until when a holder without room is not tried, by address.
--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -191,6 +191,23 @@
     }
 };
 
+/// Identifies one submission of a job within one process. A job that is submitted again keeps its
+/// id, and its runs are numbered from 1 again, so these alone do not tell the two submissions
+/// apart.
+struct JobKey
+{
+    std::string id;
+    std::uint64_t submission = 0; ///< Increases with each submission that the process receives.
+
+    auto operator<=>(const JobKey &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, submission);
+    }
+};
+
 enum class JobVerdict : std::uint8_t {
     Completed, ///< Every task has succeeded.
     Failed, ///< A task has failed for good.
--- a/src/RunOffer.h
+++ b/src/RunOffer.h
@@ -32,7 +32,7 @@
 /// decides what happens after the end of a run. The reply is a RunOfferReply, sent at once.
 struct RunOffer
 {
-    std::string jobId;
+    JobKey job; ///< Of the offering holder.
     std::string queue;
     std::string payload;
     std::uint32_t stepIndex = 0;
@@ -45,10 +45,20 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(jobId, queue, payload, stepIndex, step, runs, allOrNone);
+        archive(job, queue, payload, stepIndex, step, runs, allOrNone);
     }
 };
 
+/// Identifies a run that was accepted from another holder, for as long as its process lives.
+struct AcceptedRunKey
+{
+    std::string requester; ///< Connection of the holder that has the job.
+    std::uint64_t submission = 0; ///< Of the job at that holder.
+    RunKey run;
+
+    auto operator<=>(const AcceptedRunKey &) const = default;
+};
+
 struct RunOfferReply
 {
     std::vector<RunKey> started;
@@ -66,12 +76,13 @@
 /// them has ended.
 struct AwaitRunsRequest
 {
+    JobKey job; ///< Of the requesting holder.
     std::vector<RunKey> runs;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(runs);
+        archive(job, runs);
     }
 };
 
@@ -94,6 +105,15 @@
     }
 };
 
+/// How an accepted run has ended.
+struct AcceptedRunEnd
+{
+    AcceptedRunKey key;
+    RunOutcome outcome;
+
+    auto operator<=>(const AcceptedRunEnd &) const = default;
+};
+
 struct AwaitRunsReply
 {
     std::vector<RunOutcome> ends;
@@ -108,6 +128,7 @@
 /// Stops accepted runs whose job has ended. The reply is empty.
 struct StopRunsRequest
 {
+    JobKey job; ///< Of the requesting holder.
     std::vector<RunKey> runs;
 
     auto operator<=>(const StopRunsRequest &) const = default;
@@ -115,7 +136,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(runs);
+        archive(job, runs);
     }
 };
 
--- a/src/RunOfferClient.cpp
+++ b/src/RunOfferClient.cpp
@@ -47,77 +47,78 @@
 
 void RunOfferClient::offer(RunOffer offer)
 {
-    const auto jobId = offer.jobId;
-    m_offers[jobId] = {std::move(offer), {}};
-    sendNext(jobId);
+    const auto job = offer.job;
+    m_offers[job] = {std::move(offer), {}};
+    sendNext(job);
 }
 
-void RunOfferClient::sendNext(const std::string &jobId)
+void RunOfferClient::sendNext(const JobKey &job)
 {
-    auto &open = m_offers.at(jobId);
-    const auto address =
-        open.tried.size() < m_maxOffers ? m_choice.nextHolder(open.tried) : std::nullopt;
+    auto &open = m_offers.at(job);
+    const bool mayOffer = m_scheduler.hasJob(job) && open.tried.size() < m_maxOffers;
+    const auto address = mayOffer ? m_choice.nextHolder(open.tried) : std::nullopt;
     if (!address) {
-        close(jobId);
+        close(job);
         return;
     }
     open.tried.push_back(*address);
     m_link->call(*address, MessageKind::OfferRuns, encodeMessage(open.offer),
-                 [self = shared_from_this(), jobId, address = *address](const CallResult &result) {
+                 [self = shared_from_this(), job, address = *address](const CallResult &result) {
                      if (!self->m_isStopped)
-                         self->onReply(jobId, address, result);
+                         self->onReply(job, address, result);
                  });
 }
 
-void RunOfferClient::close(const std::string &jobId)
+void RunOfferClient::close(const JobKey &job)
 {
-    m_offers.erase(jobId);
-    m_scheduler.onOfferClosed(jobId, m_clock.now());
+    m_offers.erase(job);
+    m_scheduler.onOfferClosed(job, m_clock.now());
     m_onProgress();
 }
 
-void RunOfferClient::onReply(const std::string &jobId, const std::string &address,
+void RunOfferClient::onReply(const JobKey &job, const std::string &address,
                              const CallResult &result)
 {
     if (wasNotSent(result)) {
-        sendNext(jobId);
+        sendNext(job);
         return;
     }
     const auto reply = replyOf<RunOfferReply>(result, address);
     if (!reply) {
         // The holder may have started the runs.
-        m_offers.erase(jobId);
-        m_scheduler.onRemoteHolderLost(jobId, m_clock.now());
+        m_offers.erase(job);
+        m_scheduler.onRemoteHolderLost(job, m_clock.now());
         m_onProgress();
         return;
     }
     if (!reply->started.empty())
-        onStarted(jobId, address, reply->started);
-    auto &runs = m_offers.at(jobId).offer.runs;
+        onStarted(job, address, reply->started);
+    auto &runs = m_offers.at(job).offer.runs;
     std::erase_if(runs, [&](const OfferedRun &it) {
         return std::ranges::find(reply->started, it.key) != reply->started.end();
     });
     if (!runs.empty())
         m_choice.onHolderFull(address);
-    if (runs.empty() || !m_scheduler.hasJob(jobId))
-        close(jobId);
+    if (runs.empty())
+        close(job);
     else
-        sendNext(jobId);
+        sendNext(job);
 }
 
-void RunOfferClient::onStarted(const std::string &jobId, const std::string &address,
+void RunOfferClient::onStarted(const JobKey &job, const std::string &address,
                                const std::vector<RunKey> &started)
 {
     Log::decision(LogEvent::JobOffered)
-        .kv("request", jobId)
+        .kv("request", job.id)
+        .kv("submission", job.submission)
         .kv("address", address)
         .kv("runs", started.size());
-    if (!m_scheduler.hasJob(jobId)) {
-        stopRuns({address, {started}});
+    if (!m_scheduler.hasJob(job)) {
+        stopRuns({address, {job, started}});
         return;
     }
-    m_scheduler.onOfferedRunsStarted(jobId, address, started, m_clock.now());
-    await(jobId, address, started);
+    m_scheduler.onOfferedRunsStarted(job, address, started, m_clock.now());
+    await(job, address, started);
     m_onProgress();
 }
 
@@ -128,34 +129,33 @@
                  [](const CallResult &) { });
 }
 
-void RunOfferClient::await(const std::string &jobId, const std::string &address,
-                           std::vector<RunKey> runs)
+void RunOfferClient::await(const JobKey &job, const std::string &address, std::vector<RunKey> runs)
 {
-    auto payload = encodeMessage(AwaitRunsRequest{runs});
+    auto payload = encodeMessage(AwaitRunsRequest{job, runs});
     m_link->call(address, MessageKind::AwaitRuns, std::move(payload),
-                 [self = shared_from_this(), jobId, address,
+                 [self = shared_from_this(), job, address,
                   runs = std::move(runs)](const CallResult &result) {
                      if (!self->m_isStopped)
-                         self->onEnds(jobId, address, runs, result);
+                         self->onEnds(job, address, runs, result);
                  });
 }
 
-void RunOfferClient::onEnds(const std::string &jobId, const std::string &address,
+void RunOfferClient::onEnds(const JobKey &job, const std::string &address,
                             const std::vector<RunKey> &awaited, const CallResult &result)
 {
     const auto reply = replyOf<AwaitRunsReply>(result, address);
     if (!reply) {
-        m_scheduler.onRemoteHolderLost(jobId, m_clock.now());
+        m_scheduler.onRemoteHolderLost(job, m_clock.now());
         m_onProgress();
         return;
     }
-    m_scheduler.onRemoteEnds(reply->ends, m_clock.now());
+    m_scheduler.onRemoteEnds(job, reply->ends, m_clock.now());
     std::vector<RunKey> left;
     std::ranges::copy_if(awaited, std::back_inserter(left), [&](const RunKey &key) {
         return std::ranges::find(reply->ends, key, &RunOutcome::key) == reply->ends.end();
     });
-    if (!left.empty() && m_scheduler.hasJob(jobId))
-        await(jobId, address, std::move(left));
+    if (!left.empty() && m_scheduler.hasJob(job))
+        await(job, address, std::move(left));
     m_onProgress();
 }
 
--- a/src/RunOfferClient.h
+++ b/src/RunOfferClient.h
@@ -51,14 +51,14 @@
         std::vector<std::string> tried;
     };
 
-    void sendNext(const std::string &jobId);
-    void close(const std::string &jobId);
-    void onReply(const std::string &jobId, const std::string &address, const CallResult &result);
-    void onStarted(const std::string &jobId, const std::string &address,
+    void sendNext(const JobKey &job);
+    void close(const JobKey &job);
+    void onReply(const JobKey &job, const std::string &address, const CallResult &result);
+    void onStarted(const JobKey &job, const std::string &address,
                    const std::vector<RunKey> &started);
-    void await(const std::string &jobId, const std::string &address, std::vector<RunKey> runs);
-    void onEnds(const std::string &jobId, const std::string &address,
-                const std::vector<RunKey> &awaited, const CallResult &result);
+    void await(const JobKey &job, const std::string &address, std::vector<RunKey> runs);
+    void onEnds(const JobKey &job, const std::string &address, const std::vector<RunKey> &awaited,
+                const CallResult &result);
 
     RunScheduler &m_scheduler;
     std::shared_ptr<HolderLink> m_link;
@@ -66,7 +66,7 @@
     std::size_t m_maxOffers;
     std::function<void()> m_onProgress;
     SteadyClock m_clock;
-    std::map<std::string, OpenOffer> m_offers; ///< By job.
+    std::map<JobKey, OpenOffer> m_offers;
     bool m_isStopped = false;
 };
 
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -77,6 +77,18 @@
     return it == m_instances.end() ? nullptr : &it->second;
 }
 
+const RunScheduler::Job *RunScheduler::find(const JobKey &key) const
+{
+    const auto it = m_jobs.find(key.id);
+    const bool isPresent = it != m_jobs.end() && it->second.submission == key.submission;
+    return isPresent ? &it->second : nullptr;
+}
+
+RunScheduler::Job *RunScheduler::find(const JobKey &key)
+{
+    return const_cast<Job *>(std::as_const(*this).find(key));
+}
+
 std::size_t RunScheduler::usableInstances(Milliseconds now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -142,42 +154,41 @@
     });
 }
 
-void RunScheduler::submit(const FleetJob &job, const std::string &requester, Milliseconds now)
+JobKey RunScheduler::submit(const FleetJob &job, const std::string &requester, Milliseconds now)
 {
     onRequesterContact(requester, now);
-    if (const auto it = m_outcomes.find(job.id); it != m_outcomes.end()) {
-        m_results.push_back({job.id, it->second});
-        addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "remembered-outcome"});
-        return;
-    }
     if (const auto it = m_jobs.find(job.id); it != m_jobs.end()) {
         it->second.requester = requester;
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "running-job"});
-        return;
+        return {job.id, it->second.submission};
     }
-    const auto *rule = m_configuration ? m_configuration->find(job.queue) : nullptr;
-    if (rule == nullptr) {
-        m_results.push_back({job.id, {JobVerdict::NotRun, "unknown-queue", NoInstanceRetryMs}});
-        return;
+    const JobKey key{job.id, ++m_lastSubmission};
+    const auto refuse = [&](const char *reason, std::uint32_t retryAfterMs) {
+        m_results.push_back({key, {JobVerdict::NotRun, reason, retryAfterMs}});
+        return key;
+    };
+    if (const auto it = m_outcomes.find(job.id); it != m_outcomes.end()) {
+        m_results.push_back({key, it->second});
+        addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "remembered-outcome"});
+        return key;
     }
+    const auto *rule = m_configuration ? m_configuration->find(job.queue) : nullptr;
+    if (rule == nullptr)
+        return refuse("unknown-queue", NoInstanceRetryMs);
     auto pendingJob = makeJob(job, *rule, requester, now);
     const bool isKnownService = std::ranges::any_of(
         m_knownInstances, [&](const auto &it) { return servesNow(it.second, rule->service); });
-    if (!isKnownService) {
-        m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance", NoInstanceRetryMs}});
-        return;
-    }
-    if (!canEverRun(pendingJob)) {
-        m_results.push_back({job.id, {JobVerdict::NotRun, "no-instance-can-hold-a-task", 0}});
-        return;
-    }
+    if (!isKnownService)
+        return refuse("no-instance", NoInstanceRetryMs);
+    if (!canEverRun(pendingJob))
+        return refuse("no-instance-can-hold-a-task", 0);
     // After an outage, the jobs that have waited for its end would delay all that follow.
-    if (Milliseconds{job.waitedMs} > MaxRoutineWait && now > pendingJob.latestStart) {
-        m_results.push_back({job.id, {JobVerdict::NotRun, "waited-too-long", MinRetryMs}});
-        return;
-    }
+    if (Milliseconds{job.waitedMs} > MaxRoutineWait && now > pendingJob.latestStart)
+        return refuse("waited-too-long", MinRetryMs);
     raiseVirtualTime(job.queue);
+    pendingJob.submission = key.submission;
     m_jobs.emplace(job.id, std::move(pendingJob));
+    return key;
 }
 
 void RunScheduler::cancel(const std::string &jobId, const std::string &requester, Milliseconds now)
@@ -213,8 +224,10 @@
                 it->second.abandon(key, now);
         }
     }
-    for (auto &[holder, request] : remote)
+    for (auto &[holder, request] : remote) {
+        request.job = {job.job.id, job.submission};
         m_remoteStops.push_back({holder, std::move(request)});
+    }
 }
 
 void RunScheduler::finish(const std::string &jobId, JobOutcome outcome, Milliseconds now)
@@ -229,7 +242,7 @@
         outcome.verdict == JobVerdict::Completed || outcome.verdict == JobVerdict::Failed;
     if (isFinal)
         storeOutcome(jobId, outcome, now);
-    m_results.push_back({jobId, std::move(outcome)});
+    m_results.push_back({{jobId, node.mapped().submission}, std::move(outcome)});
 }
 
 void RunScheduler::storeOutcome(const std::string &jobId, const JobOutcome &outcome,
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -44,7 +44,7 @@
 /// The outcome of a job, for its requester.
 struct JobResult
 {
-    std::string jobId;
+    JobKey job;
     JobOutcome outcome;
 
     auto operator<=>(const JobResult &) const = default;
@@ -92,28 +92,29 @@
 
     // --- Jobs
     /// Accepts a job, joins one with the same id, or repeats a retained outcome. The outcome
-    /// follows in takeResults().
+    /// follows in takeResults() under the returned key; joined submissions share one.
     /// @param requester receives the result; must stay in contact while the job runs. Empty for a
     /// job of a caller of this entry.
-    void submit(const FleetJob &job, const std::string &requester, Milliseconds now);
+    JobKey submit(const FleetJob &job, const std::string &requester, Milliseconds now);
     /// The caller has disconnected: ends the job as unknown and stops its runs. Does nothing if
     /// another requester has submitted the job since.
     void cancel(const std::string &jobId, const std::string &requester, Milliseconds now);
     void onRequesterContact(const std::string &requester, Milliseconds now);
-    [[nodiscard]] bool hasJob(const std::string &jobId) const { return m_jobs.contains(jobId); }
+    [[nodiscard]] bool hasJob(const JobKey &job) const { return find(job) != nullptr; }
 
     // --- Runs offered to the holders of other cells
     /// Returns the runs of waiting jobs that do not fit here now. At most one offer for each job is
     /// open; a rejected one is repeated after a delay.
     [[nodiscard]] std::vector<RunOffer> takeOffers(Milliseconds now);
-    /// Another holder has started some of the offered runs.
-    void onOfferedRunsStarted(const std::string &jobId, const std::string &holder,
+    /// Another holder has started some of the offered runs. This call and the following ones do
+    /// nothing for a submission that has ended.
+    void onOfferedRunsStarted(const JobKey &key, const std::string &holder,
                               const std::vector<RunKey> &started, Milliseconds now);
     /// The offer of this job is closed: the runs that nobody has started may start here again.
-    void onOfferClosed(const std::string &jobId, Milliseconds now);
-    void onRemoteEnds(const std::vector<RunOutcome> &ends, Milliseconds now);
+    void onOfferClosed(const JobKey &key, Milliseconds now);
+    void onRemoteEnds(const JobKey &key, const std::vector<RunOutcome> &ends, Milliseconds now);
     /// The holder that runs tasks of this job, or may run them, is lost.
-    void onRemoteHolderLost(const std::string &jobId, Milliseconds now);
+    void onRemoteHolderLost(const JobKey &key, Milliseconds now);
     [[nodiscard]] std::vector<RemoteStop> takeRemoteStops()
     {
         return std::exchange(m_remoteStops, {});
@@ -124,10 +125,10 @@
     [[nodiscard]] RunOfferReply startOffered(const RunOffer &offer, const std::string &requester,
                                              Milliseconds now);
     /// Stops accepted runs of a requester.
-    void stopOffered(const std::vector<RunKey> &runs, const std::string &requester,
+    void stopOffered(const StopRunsRequest &request, const std::string &requester,
                      Milliseconds now);
     /// Accepted runs that have ended since the last call.
-    [[nodiscard]] std::vector<RunOutcome> takeAcceptedEnds()
+    [[nodiscard]] std::vector<AcceptedRunEnd> takeAcceptedEnds()
     {
         return std::exchange(m_acceptedEnds, {});
     }
@@ -147,10 +148,7 @@
     [[nodiscard]] std::vector<JobResult> takeResults() { return std::exchange(m_results, {}); }
     [[nodiscard]] std::vector<ScheduleEvent> takeEvents() { return std::exchange(m_events, {}); }
 
-    [[nodiscard]] bool isRunningAccepted(const RunKey &key) const
-    {
-        return m_acceptedRuns.contains(key);
-    }
+    [[nodiscard]] bool isRunningAccepted(const AcceptedRunKey &key) const;
     [[nodiscard]] std::size_t jobCount() const { return m_jobs.size(); }
     [[nodiscard]] std::size_t acceptedRunCount() const { return m_acceptedRuns.size(); }
     [[nodiscard]] std::size_t usableInstances(Milliseconds now) const;
@@ -178,6 +176,7 @@
     {
         FleetJob job;
         QueueRule rule;
+        std::uint64_t submission = 0; ///< Tells it apart from other submissions of the job.
         std::string requester;
         Milliseconds arrivedAt;
         Milliseconds responseDueAt; ///< Latency objective: the response is due by then.
@@ -203,6 +202,7 @@
     struct AcceptedRun
     {
         std::string requester;
+        std::uint64_t submission = 0; ///< Of the job at the requester.
         std::string queue;
         JobStep step;
     };
@@ -269,6 +269,9 @@
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
     [[nodiscard]] LeasedInstance *find(const InstanceKey &key);
+    /// The job of this submission, or null if it has ended.
+    [[nodiscard]] Job *find(const JobKey &key);
+    [[nodiscard]] const Job *find(const JobKey &key) const;
     void addEvent(ScheduleEvent event);
 
     SchedulerSettings m_settings;
@@ -280,6 +283,7 @@
     RunTimeModel m_runTimes;
 
     std::map<std::string, Job> m_jobs;
+    std::uint64_t m_lastSubmission = 0;
     std::map<RunKey, AcceptedRun> m_acceptedRuns;
     /// Virtual time of each queue, in millicore-milliseconds.
     std::map<std::string, double> m_virtualTimes;
@@ -294,7 +298,7 @@
     std::vector<HoldOrder> m_holds;
     std::vector<JobResult> m_results;
     std::vector<RemoteStop> m_remoteStops;
-    std::vector<RunOutcome> m_acceptedEnds;
+    std::vector<AcceptedRunEnd> m_acceptedEnds;
     std::vector<ScheduleEvent> m_events;
 };
 
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -37,9 +37,12 @@
             continue;
         // What fits here starts here once the rest has started elsewhere.
         auto keptHere = job.hasStarted ? 0 : countPlaceable(job, step, now);
-        RunOffer offer{job.job.id,          job.rule.name,
-                       job.job.payload,     static_cast<std::uint32_t>(step),
-                       job.job.steps[step], {},
+        RunOffer offer{{job.job.id, job.submission},
+                       job.rule.name,
+                       job.job.payload,
+                       static_cast<std::uint32_t>(step),
+                       job.job.steps[step],
+                       {},
                        !job.hasStarted};
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             auto &task = job.tasks[step][index];
@@ -61,19 +64,20 @@
     return std::nullopt;
 }
 
-void RunScheduler::onOfferedRunsStarted(const std::string &jobId, const std::string &holder,
+void RunScheduler::onOfferedRunsStarted(const JobKey &key, const std::string &holder,
                                         const std::vector<RunKey> &started, Milliseconds now)
 {
-    for (const auto &key : started) {
-        const auto place = parseTaskName(key.task);
-        const auto it = m_jobs.find(jobId);
-        if (!place || place->jobId != jobId || it == m_jobs.end()
-            || place->step >= it->second.tasks.size()
-            || place->index >= it->second.tasks[place->step].size())
+    auto *const found = find(key);
+    if (found == nullptr)
+        return;
+    auto &job = *found;
+    for (const auto &run : started) {
+        const auto place = parseTaskName(run.task);
+        if (!place || place->jobId != key.id || place->step >= job.tasks.size()
+            || place->index >= job.tasks[place->step].size())
             continue;
-        auto &job = it->second;
         auto &task = job.tasks[place->step][place->index];
-        if (task.state != Task::State::Offered || task.runs != key.run)
+        if (task.state != Task::State::Offered || task.runs != run.run)
             continue;
         task.state = Task::State::Running;
         task.holder = holder;
@@ -81,20 +85,19 @@
         job.hasStarted = true;
         const auto &step = job.job.steps[place->step];
         chargeQueue(job.rule.name, step, expectedTime(job, step));
-        addEvent({ScheduleEvent::Kind::Started, jobId, key, holder, "room-in-other-cell",
+        addEvent({ScheduleEvent::Kind::Started, key.id, run, holder, "room-in-other-cell",
                   (now - job.arrivedAt).count()});
     }
 }
 
-void RunScheduler::onOfferClosed(const std::string &jobId, Milliseconds now)
+void RunScheduler::onOfferClosed(const JobKey &key, Milliseconds now)
 {
-    const auto it = m_jobs.find(jobId);
-    if (it == m_jobs.end())
+    auto *const job = find(key);
+    if (job == nullptr)
         return;
-    auto &job = it->second;
-    job.isOffered = false;
-    job.nextOfferAt = now + OfferRetryDelay;
-    for (auto &tasks : job.tasks) {
+    job->isOffered = false;
+    job->nextOfferAt = now + OfferRetryDelay;
+    for (auto &tasks : job->tasks) {
         for (auto &task : tasks) {
             if (task.state == Task::State::Offered)
                 task.state = Task::State::Waiting;
@@ -102,18 +105,22 @@
     }
 }
 
-void RunScheduler::onRemoteEnds(const std::vector<RunOutcome> &ends, Milliseconds now)
+void RunScheduler::onRemoteEnds(const JobKey &key, const std::vector<RunOutcome> &ends,
+                                Milliseconds now)
 {
     for (const auto &outcome : ends) {
+        if (!hasJob(key))
+            return;
         const auto ref = findTask(outcome.key);
-        if (ref && !ref->task->holder.empty())
+        if (ref && ref->job->job.id == key.id && !ref->task->holder.empty())
             onTaskEnd(*ref, outcome, now);
     }
 }
 
-void RunScheduler::onRemoteHolderLost(const std::string &jobId, Milliseconds now)
+void RunScheduler::onRemoteHolderLost(const JobKey &key, Milliseconds now)
 {
-    finish(jobId, {JobVerdict::Unknown, "holder-lost", 0}, now);
+    if (hasJob(key))
+        finish(key.id, {JobVerdict::Unknown, "holder-lost", 0}, now);
 }
 
 // --- Runs accepted from other holders
@@ -123,10 +130,11 @@
 {
     onRequesterContact(requester, now);
     const auto *rule = m_configuration ? m_configuration->find(offer.queue) : nullptr;
-    if (rule == nullptr)
+    // A submission of the same job that this holder has itself decides where its tasks run.
+    if (rule == nullptr || m_jobs.contains(offer.job.id))
         return {};
     auto found =
-        candidates(rule->service, offer.step, taskNamePrefix(offer.jobId, offer.stepIndex), now);
+        candidates(rule->service, offer.step, taskNamePrefix(offer.job.id, offer.stepIndex), now);
     std::vector<std::pair<RunKey, LeasedInstance *>> placed;
     for (const auto &run : offer.runs) {
         // A run of an earlier submission of the job may not have ended yet.
@@ -148,19 +156,25 @@
         const auto &id = instance->report().key.id;
         m_starts.push_back(instance->start(key, offer.payload, offer.step.demand,
                                            estimate * m_health.slowdown(id), now));
-        m_acceptedRuns[key] = {requester, offer.queue, offer.step};
-        addEvent({ScheduleEvent::Kind::Started, offer.jobId, key, id, "accepted-offer", 0});
+        m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step};
+        addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id, "accepted-offer", 0});
         started.push_back(key);
     }
     return {std::move(started)};
 }
 
-void RunScheduler::stopOffered(const std::vector<RunKey> &runs, const std::string &requester,
+bool RunScheduler::isRunningAccepted(const AcceptedRunKey &key) const
+{
+    const auto it = m_acceptedRuns.find(key.run);
+    return it != m_acceptedRuns.end() && it->second.requester == key.requester
+        && it->second.submission == key.submission;
+}
+
+void RunScheduler::stopOffered(const StopRunsRequest &request, const std::string &requester,
                                Milliseconds now)
 {
-    for (const auto &key : runs) {
-        const auto it = m_acceptedRuns.find(key);
-        if (it == m_acceptedRuns.end() || it->second.requester != requester)
+    for (const auto &key : request.runs) {
+        if (!isRunningAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
             instance.abandon(key, now);
@@ -191,7 +205,7 @@
         addRunTime(run.queue, run.step, outcome, now);
     else if (outcome.end == RunEnd::Failed)
         m_health.onFailed(outcome.instance, now);
-    m_acceptedEnds.push_back(outcome);
+    m_acceptedEnds.push_back({{run.requester, run.submission, outcome.key}, outcome});
 }
 
 } // namespace Camphor
--- a/src/RunWaiters.cpp
+++ b/src/RunWaiters.cpp
@@ -11,15 +11,15 @@
 
 } // namespace
 
-void RunWaiters::await(const std::vector<RunKey> &runs, Reply reply,
-                       const std::function<bool(const RunKey &)> &isRunning)
+void RunWaiters::await(const std::vector<AcceptedRunKey> &runs, Reply reply,
+                       const std::function<bool(const AcceptedRunKey &)> &isRunning)
 {
     AwaitRunsReply ended;
     for (const auto &key : runs) {
         if (const auto node = m_ends.extract(key); !node.empty())
             ended.ends.push_back(node.mapped().outcome);
         else if (!isRunning(key))
-            ended.ends.push_back({key, RunEnd::LeaseExpired, true, 0, {}});
+            ended.ends.push_back({key.run, RunEnd::LeaseExpired, true, 0, {}});
     }
     if (!ended.ends.empty() || runs.empty()) {
         reply(ended);
@@ -31,17 +31,17 @@
     m_waiters[id] = {runs, std::move(reply)};
 }
 
-void RunWaiters::onEnd(const RunOutcome &outcome, Milliseconds now)
+void RunWaiters::onEnd(const AcceptedRunEnd &end, Milliseconds now)
 {
-    const auto it = m_waiterOf.find(outcome.key);
+    const auto it = m_waiterOf.find(end.key);
     if (it == m_waiterOf.end()) {
-        m_ends[outcome.key] = {outcome, now};
+        m_ends[end.key] = {end.outcome, now};
         return;
     }
     const auto waiter = std::move(m_waiters.extract(it->second).mapped());
     for (const auto &key : waiter.runs)
         m_waiterOf.erase(key);
-    waiter.reply({{outcome}});
+    waiter.reply({{end.outcome}});
 }
 
 void RunWaiters::evict(Milliseconds now)
--- a/src/RunWaiters.h
+++ b/src/RunWaiters.h
@@ -10,7 +10,9 @@
 
 namespace Camphor {
 
-/// Passes the ends of accepted runs to the requests that wait for them. Performs no I/O.
+/// Passes the ends of accepted runs to the requests that wait for them. Runs are told apart by
+/// requester and submission, so that an end that nobody has asked for is never taken for the end of
+/// a run that has the same name in a later submission. Performs no I/O.
 class RunWaiters
 {
 public:
@@ -19,10 +21,10 @@
     /// Calls back when at least one of the runs has ended; at once if one has. A run that is
     /// neither running nor known to have ended counts as ended with an unknown result.
     /// @param isRunning whether an accepted run is running.
-    void await(const std::vector<RunKey> &runs, Reply reply,
-               const std::function<bool(const RunKey &)> &isRunning);
+    void await(const std::vector<AcceptedRunKey> &runs, Reply reply,
+               const std::function<bool(const AcceptedRunKey &)> &isRunning);
     /// An accepted run has ended. The end is retained until a request asks for it.
-    void onEnd(const RunOutcome &outcome, Milliseconds now);
+    void onEnd(const AcceptedRunEnd &end, Milliseconds now);
     /// Discards ends that no request has asked for in time, because their holder is lost.
     void evict(Milliseconds now);
 
@@ -37,13 +39,13 @@
 
     struct Waiter
     {
-        std::vector<RunKey> runs;
+        std::vector<AcceptedRunKey> runs;
         Reply reply;
     };
 
-    std::map<RunKey, RetainedEnd> m_ends;
+    std::map<AcceptedRunKey, RetainedEnd> m_ends;
     std::map<std::uint64_t, Waiter> m_waiters;
-    std::map<RunKey, std::uint64_t> m_waiterOf;
+    std::map<AcceptedRunKey, std::uint64_t> m_waiterOf;
     std::uint64_t m_lastWaiter = 0;
 };
 
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "RunScheduler.h"
+#include "TaskName.h"
 
 #include <algorithm>
 #include <functional>
@@ -355,7 +356,7 @@
             schedule(now + delay(),
                      [=, this, &holder] { replyToHold(holder, order, now + order.waitMs); });
         for (const auto &result : holder.takeResults())
-            outcomes[result.jobId] = result.outcome;
+            outcomes[result.job.id] = result.outcome;
         (void)holder.takeEvents();
         exchange(holder);
     }
@@ -395,16 +396,19 @@
             if (offersRuns)
                 sendOffer(holder, offer, 0);
             else
-                holder.onOfferClosed(offer.jobId, at);
+                holder.onOfferClosed(offer.job, at);
         }
-        for (const auto &outcome : holder.takeAcceptedEnds()) {
-            auto &home = *m_homes.at(outcome.key);
-            post(home, [this, &home, outcome] { home.onRemoteEnds({outcome}, Milliseconds{now}); });
+        for (const auto &end : holder.takeAcceptedEnds()) {
+            auto &home = holderAt(end.key.requester);
+            const JobKey job{parseTaskName(end.key.run.task)->jobId, end.key.submission};
+            post(home, [this, &home, job, end] {
+                home.onRemoteEnds(job, {end.outcome}, Milliseconds{now});
+            });
         }
         for (const auto &stop : holder.takeRemoteStops()) {
             auto &other = holderAt(stop.holder);
             post(other, [this, &other, stop, address] {
-                other.stopOffered(stop.request.runs, address, Milliseconds{now});
+                other.stopOffered(stop.request, address, Milliseconds{now});
             });
         }
     }
@@ -415,26 +419,25 @@
         if (number < m_holders.size() && m_holders[number].get() == &holder)
             ++number;
         if (number >= m_holders.size() || offer.runs.empty()) {
-            holder.onOfferClosed(offer.jobId, Milliseconds{now});
+            holder.onOfferClosed(offer.job, Milliseconds{now});
             return;
         }
         auto &other = *m_holders[number];
         post(other, [this, &holder, &other, offer, number] {
             const auto started =
                 other.startOffered(offer, addressOf(holder), Milliseconds{now}).started;
-            for (const auto &key : started)
-                m_homes[key] = &holder;
             post(holder, [this, &holder, &other, offer, number, started] {
                 auto rest = offer;
                 std::erase_if(rest.runs, [&](const OfferedRun &it) {
                     return std::ranges::find(started, it.key) != started.end();
                 });
-                if (holder.hasJob(offer.jobId))
-                    holder.onOfferedRunsStarted(offer.jobId, addressOf(other), started,
+                if (holder.hasJob(offer.job))
+                    holder.onOfferedRunsStarted(offer.job, addressOf(other), started,
                                                 Milliseconds{now});
                 else
-                    post(other, [this, &holder, &other, started] {
-                        other.stopOffered(started, addressOf(holder), Milliseconds{now});
+                    post(other, [this, &holder, &other, offer, started] {
+                        other.stopOffered({offer.job, started}, addressOf(holder),
+                                          Milliseconds{now});
                     });
                 sendOffer(holder, rest, number + 1);
             });
@@ -456,7 +459,6 @@
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, SimulatedInstance> m_instances;
     std::vector<std::unique_ptr<RunScheduler>> m_holders;
-    std::map<RunKey, RunScheduler *> m_homes; ///< Holders that have the jobs of offered runs.
     std::multimap<double, std::function<void()>> m_messages;
 };
 
--- a/test/FleetProcesses.h
+++ b/test/FleetProcesses.h
@@ -98,6 +98,8 @@
     }
 
     std::atomic<double> runMs{30};
+    /// Number of starts of a task that was running on another instance.
+    std::atomic<int> doubleRuns{0};
 
 private:
     void add(int n)
@@ -131,7 +133,10 @@
         if (request.target == "/run-start") {
             const StartOrder order{target, key, body.value("spec", ""),
                                    body.at("deadline_ms").get<std::uint64_t>()};
-            sendReply(instance.start(order, {14'000, 64, 0}, runMs, false, now()), respond);
+            const auto reply = instance.start(order, {14'000, 64, 0}, runMs, false, now());
+            if (reply.result == OrderResult::Accepted && isRunningElsewhere(id, key.task))
+                ++doubleRuns;
+            sendReply(reply, respond);
         } else if (request.target == "/run-stop") {
             sendReply(instance.stop({target, key}, now()), respond);
         } else {
@@ -143,6 +148,17 @@
         }
     }
 
+    /// Requires the lock.
+    bool isRunningElsewhere(const std::string &id, const std::string &task)
+    {
+        return std::ranges::any_of(m_instances, [&](auto &it) {
+            it.second.advance(now());
+            return it.first != id && std::ranges::any_of(it.second.running(), [&](const auto &run) {
+                       return run.key.task == task;
+                   });
+        });
+    }
+
     /// Replies at the first end, or when the wait is over. Requires the lock.
     void hold(const std::string &id, const HoldOrder &order, double until,
               const HttpRespond &respond)
@@ -203,7 +219,7 @@
 class Fleet
 {
 public:
-    Fleet()
+    explicit Fleet(int entries = 2)
     {
         const auto rpc = freePort();
         const auto operators = freePort();
@@ -216,7 +232,7 @@
                 + (m_folder.path() / name).string() + "\"\ndomains: {north: here}\n";
             start(name);
         }
-        for (int n = 0; n < 2; ++n) {
+        for (int n = 0; n < entries; ++n) {
             const auto name = "entry-" + std::to_string(n);
             const auto host = "127.0.0." + std::to_string(21 + n);
             callers.push_back({host, freePort()});
@@ -306,9 +322,10 @@
     }
 
     /// Submits a job of that many tasks.
-    int submitWide(std::size_t entry, const std::string &jobId, int tasks) const
+    int submitWide(std::size_t entry, const std::string &jobId, int tasks,
+                   Milliseconds timeout = Milliseconds{10'000}) const
     {
-        return submitTo("/q/", entry, jobId, Milliseconds{10'000}, tasks);
+        return submitTo("/q/", entry, jobId, timeout, tasks);
     }
 
     int submitTo(const std::string &prefix, std::size_t entry, const std::string &jobId,
--- a/test/correctness/FleetProcessTest.cpp
+++ b/test/correctness/FleetProcessTest.cpp
@@ -115,3 +115,41 @@
             || fleet.hasLogLine("entry-1", {"job-offered", jobId});
     }));
 }
+
+// Guards against tasks that run twice when a caller disconnects and submits its job again: the ends
+// of the first submission's runs in another cell were taken for those of the second one's.
+TEST_CASE("a wide job that is submitted again runs each task once", "[fleet][process]")
+{
+    Fleet fleet;
+    SimulatedInstances instances(30);
+    instances.runMs = 1'000;
+    REQUIRE(fleet.awaitReady(instances));
+    REQUIRE(waitUntil([&] {
+        return instances.report(fleet.controls()[0])
+            && fleet.hasLogLine("entry-0", {"cell-held", "cell=north/1"});
+    }));
+    for (int round = 0; round < 6; ++round) {
+        CAPTURE(round);
+        const auto jobId = "00000000000000c" + std::to_string(round);
+        REQUIRE(waitUntil([&] {
+            // The caller disconnects at the timeout.
+            const auto status = fleet.submitWide(0, jobId, 50, Milliseconds{400});
+            return status == 0 && fleet.hasLogLine("entry-0", {"job-abandoned", jobId});
+        }));
+        REQUIRE(waitUntil([&] { return instances.running() == 0; }));
+        // Entries use the cells in turn; jobs in between vary which one has the job again.
+        instances.runMs = 1;
+        for (int n = 0; n < round % 3; ++n)
+            CHECK(fleet.completeJob(0, jobId.substr(1) + std::to_string(n)));
+        instances.runMs = 1'000;
+        // Another job takes some room, so that the tasks run on other instances than before, which
+        // would refuse runs that they have ended.
+        std::thread other([&] { (void)fleet.submitWide(1, jobId.substr(1) + "f", 5); });
+        CHECK(waitUntil([&] { return instances.running() > 0; }));
+        CHECK(waitUntil([&] {
+            return instances.report(fleet.controls()[0]) && fleet.submitWide(0, jobId, 50) == 200;
+        }));
+        other.join();
+    }
+    CHECK(instances.doubleRuns == 0);
+}
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -503,6 +503,59 @@
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
 }
 
+TEST_CASE("what arrives late for an earlier submission does not change a later one", "[scheduler]")
+{
+    // Guards against tasks that run twice after a job was cancelled and submitted again: the end of
+    // a run of the first submission was taken for that of the second one's run of the same name.
+    FleetSimulation world(2, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration(), 0, 1);
+    world.run(20);
+    const auto job = makeJob("job", "quick", 6, 900);
+    const auto offerOf = [&](const JobKey &key) {
+        auto offers = holder.takeOffers(Milliseconds{world.now});
+        REQUIRE(offers.size() == 1);
+        CHECK(offers.front().job == key);
+        return offers.front();
+    };
+    const auto first = holder.submit(job, {}, Milliseconds{world.now});
+    const auto earlier = offerOf(first);
+    const auto key = earlier.runs.front().key;
+    holder.cancel("job", {}, Milliseconds{world.now});
+    const auto second = holder.submit(job, {}, Milliseconds{world.now});
+    REQUIRE(second.submission > first.submission);
+    const auto offer = offerOf(second);
+    REQUIRE(offer.runs.front().key == key);
+    const Milliseconds now{world.now};
+    // Another holder accepts the run of the first submission after that has ended.
+    holder.onOfferedRunsStarted(first, "other", {key}, now);
+    holder.onOfferedRunsStarted(second, "third", {key}, now);
+    holder.onOfferClosed(first, now);
+    CHECK(holder.takeOffers(now + Milliseconds{1'000}).empty());
+    holder.onRemoteEnds(first, {{key, RunEnd::Stopped, false, 20, "worker-1"}}, now);
+    holder.onRemoteHolderLost(first, now);
+    CHECK(holder.hasJob(second));
+    CHECK_FALSE(holder.hasJob(first));
+    holder.cancel("job", {}, now);
+    const auto stops = holder.takeRemoteStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops.front() == RemoteStop{"third", {second, {key}}});
+}
+
+TEST_CASE("a holder accepts no runs of a job that it has itself", "[scheduler]")
+{
+    // Guards against two holders that run the same job after it was submitted to both.
+    FleetSimulation world(4, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    auto job = makeJob("job", "quick", 1, 60);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().dependsOn = {0};
+    holder.submit(job, {}, Milliseconds{world.now});
+    const RunOffer offer{
+        {"job", 3}, "quick", "payload", 1, job.steps.back(), {{{"job.0.1.0", 1}, {}}}, false};
+    CHECK(holder.startOffered(offer, "other", Milliseconds{world.now}).started.empty());
+}
+
 TEST_CASE("at the limit of retained outcomes the newest are kept", "[scheduler]")
 {
     // Guards against a job that runs again when its caller resends it after a lost response.
