Keep runs that a later incarnation may have started until its list lacks them

Cause: replies to starts do not name the incarnation. The holder learned of the later one from the next list, after it had started the run there, and ended every confirmed run as one of the earlier incarnation. A run that it kept lost its lease at once, because the lease was known on the earlier clock only.

Change: only runs that a list of the earlier incarnation has shown end with it. The others wait for a list of the later one, under the longest lease that an instance grants. A stop that the earlier incarnation has acknowledged does not count for the later one, and a hold acknowledges ends only if there are new ones, because the later one numbers them from 1 again.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -35,22 +35,28 @@
 {
     if (report.key.startTimeMs < m_report.key.startTimeMs)
         return;
-    onIncarnation(report.key.startTimeMs, nullptr, now);
+    onIncarnation(report.key.startTimeMs, now);
     m_report = report;
 }
 
-void LeasedInstance::onIncarnation(std::uint64_t startTimeMs, const RunKey *startedRun,
-                                   Milliseconds now)
+void LeasedInstance::onIncarnation(std::uint64_t startTimeMs, Milliseconds now)
 {
     if (startTimeMs == 0 || startTimeMs <= m_report.key.startTimeMs)
         return;
-    // Confirmed runs belonged to the earlier incarnation and ended with it. An order without a
-    // reply may have reached the new one, whose lists will show it.
+    // Runs that the earlier incarnation has listed ended with it. The others may have been started
+    // by the later one, because replies to starts need not name the incarnation; its lists will
+    // show them.
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        const bool isNew = startedRun != nullptr && it->first == *startedRun;
-        if (!isNew && it->second.phase == Phase::Running)
+        auto &run = it->second;
+        if (run.wasListed) {
             finish(it, RunEnd::LeaseExpired, now);
+        } else {
+            // A stop that the earlier incarnation has acknowledged does not bind the later one.
+            run.stopAckedAt.reset();
+            run.isStopInFlight = false;
+            run.nextStopAt = std::min(run.nextStopAt, now);
+        }
         it = next;
     }
     m_report.key.startTimeMs = startTimeMs;
@@ -58,6 +64,7 @@
     m_isHoldInFlight = m_isSynced = false;
     m_clockMs.reset();
     m_leaseUntilMs = 0;
+    m_incarnationKnownAt = now;
 }
 
 bool LeasedInstance::isUsable(Milliseconds now) const
@@ -104,19 +111,28 @@
 
 void LeasedInstance::expireLeases(Milliseconds now)
 {
-    if (m_runs.empty() || !m_clockMs)
-        return;
     const auto sinceReading = (now - m_clockAt).count() * (1.0 - m_settings.clockDrift);
-    if (*m_clockMs + sinceReading <= m_leaseUntilMs)
+    const bool isLeaseValid = m_clockMs && *m_clockMs + sinceReading <= m_leaseUntilMs;
+    const bool mayOutlive = std::ranges::any_of(
+        m_runs, [&](const auto &it) { return mayOutliveLease(it.second, now); });
+    if (m_runs.empty() || isLeaseValid || mayOutlive)
         return;
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        finish(it, RunEnd::LeaseExpired, now);
-        it = next;
-    }
+    endAll(now);
     m_isSynced = false;
 }
 
+bool LeasedInstance::mayOutliveLease(const Run &run, Milliseconds now) const
+{
+    // The order of a run that no list has shown may have been carried out by a later incarnation
+    // than the one whose clock is known. Its deadline then lies far ahead on the instance's clock,
+    // and the instance has granted its longest lease.
+    if (run.wasListed && m_clockMs)
+        return false;
+    const auto knownAt = std::max({run.confirmedAt.value_or(run.startedAt), run.listedAt,
+                                   m_incarnationKnownAt.value_or(run.startedAt)});
+    return now < knownAt + m_settings.maxLease / (1.0 - m_settings.clockDrift);
+}
+
 void LeasedInstance::invalidate()
 {
     m_isSynced = false;
@@ -191,7 +207,10 @@
         m_runs, [](const auto &it) { return it.second.phase == Phase::Abandoned; });
     const bool isUnanswered = std::ranges::any_of(
         m_runs, [](const auto &it) { return it.second.unansweredAt.has_value(); });
-    HoldOrder order{target(), std::nullopt, m_processedThrough, 0, ++m_holdSerial};
+    // An acknowledgement without news could make a later incarnation, which numbers its ends from 1
+    // again, discard ends that were never read.
+    const auto acked = m_processedThrough > m_ackedThrough ? m_processedThrough : 0;
+    HoldOrder order{target(), std::nullopt, acked, 0, ++m_holdSerial};
     if (m_isSynced && !m_runs.empty()) {
         const auto wait = isUncertain ? m_settings.uncertainHoldWait : m_settings.holdWait;
         order.waitMs = isUnanswered ? 0 : static_cast<std::uint32_t>(wait.count());
@@ -265,7 +284,7 @@
 
 void LeasedInstance::onStartReply(const RunKey &key, const OrderReply &reply, Milliseconds now)
 {
-    onIncarnation(reply.startTimeMs, &key, now);
+    onIncarnation(reply.startTimeMs, now);
     updateClock(reply.clockMs, now);
     onReplyResult(reply.result, now);
     const auto it = m_runs.find(key);
@@ -292,7 +311,7 @@
 
 void LeasedInstance::onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now)
 {
-    onIncarnation(reply.startTimeMs, nullptr, now);
+    onIncarnation(reply.startTimeMs, now);
     updateClock(reply.clockMs, now);
     onReplyResult(reply.result, now);
     const auto it = m_runs.find(key);
@@ -314,7 +333,7 @@
     if (reply.startTimeMs > m_report.key.startTimeMs) {
         // This list was requested from the earlier incarnation; the next hold acknowledges none of
         // its ends.
-        onIncarnation(reply.startTimeMs, nullptr, now);
+        onIncarnation(reply.startTimeMs, now);
         return;
     }
     updateClock(reply.clockMs, now);
@@ -363,6 +382,10 @@
         if (run.phase == Phase::Starting)
             run.phase = Phase::Running;
         run.unansweredAt.reset();
+        // The lease that it was ordered under was not computed for the clock of this incarnation.
+        if (m_clockMs && m_incarnationKnownAt && run.startedAt <= *m_incarnationKnownAt)
+            m_leaseUntilMs = std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
+        run.wasListed = true;
         run.listedAt = now;
         if (!run.confirmedAt)
             run.confirmedAt = now;
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -19,6 +19,8 @@
 {
     /// Lease duration. Short, so that the runs of a lost holder end before the caller resubmits.
     Milliseconds lease{900};
+    /// The longest lease that an instance grants; it shortens longer ones.
+    Milliseconds maxLease{1'000};
     /// Maximum wait of a hold. Short, because a lost reply hides all ends until then.
     Milliseconds holdWait{150};
     /// Wait of a hold while the state of a run is uncertain, so that it is resolved soon.
@@ -54,7 +56,8 @@
 public:
     LeasedInstance(InstanceReport report, std::uint64_t token, const LeaseSettings &settings);
 
-    /// Processes a newer report. A report of a later incarnation ends the runs of the earlier one.
+    /// Processes a newer report. After one of a later incarnation, its lists show which runs have
+    /// ended with the earlier one.
     void update(const InstanceReport &report, Milliseconds now);
 
     [[nodiscard]] const InstanceReport &report() const { return m_report; }
@@ -127,6 +130,8 @@
         /// order was carried out late.
         bool isForeign = false;
         bool isStopInFlight = false;
+        /// A list has shown it, so it was started on the incarnation that is known.
+        bool wasListed = false;
         /// When a reply or a list first showed that the run has started.
         std::optional<Milliseconds> confirmedAt;
         /// When the start order turned out to have no reply. The next list shows whether it was
@@ -148,7 +153,9 @@
     /// be unanswered, so that its list cannot show the state of that run.
     [[nodiscard]] bool isHoldOutdated() const;
     /// Handles a start time in a report or reply that may belong to a later incarnation.
-    void onIncarnation(std::uint64_t startTimeMs, const RunKey *startedRun, Milliseconds now);
+    void onIncarnation(std::uint64_t startTimeMs, Milliseconds now);
+    /// Whether the lease of a run may end later than the known clock says.
+    [[nodiscard]] bool mayOutliveLease(const Run &run, Milliseconds now) const;
     void finish(std::map<RunKey, Run>::iterator it, RunEnd end, Milliseconds now);
     void onEnds(const std::vector<EndedRun> &ended, Milliseconds now);
     void onRunning(const HoldReply &reply, Milliseconds now);
@@ -167,6 +174,9 @@
     std::optional<double> m_clockMs; ///< Lower bound of the instance's clock at m_clockAt.
     Milliseconds m_clockAt;
     double m_leaseUntilMs = 0; ///< Latest lease expiry in any order, on the instance's clock.
+    /// When the last change of the incarnation became known. Runs that were ordered before may be
+    /// running on it, under a lease that is not known.
+    std::optional<Milliseconds> m_incarnationKnownAt;
 
     bool m_isHoldInFlight = false;
     std::uint64_t m_holdSerial = 0;
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -311,6 +311,38 @@
     CHECK(holder.jobCount() == 0);
 }
 
+TEST_CASE("no task runs twice while instances restart under their ids", "[scheduler][generated]")
+{
+    // Guards against runs of a restarted instance that are taken for runs of its former process.
+    const auto seed = GENERATE(range(1, 21));
+    CAPTURE(seed);
+    FleetFaults faults;
+    faults.slowClock = 0.02;
+    faults.lostReplies = seed % 2 == 0 ? 0.02 : 0;
+    FleetSimulation world(9, faults, static_cast<std::uint64_t>(seed));
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    world.runTime = [](const std::string &task) {
+        return 20.0 + static_cast<double>(std::hash<std::string>{}(task) % 900);
+    };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    int serial = 0;
+    while (world.now < 10'000) {
+        if (random() % 150 == 0)
+            holder.submit(makeJob("job" + std::to_string(++serial), "long",
+                                  1 + static_cast<std::uint32_t>(random() % 6), 400),
+                          {}, Milliseconds{world.now});
+        if (random() % 300 == 0)
+            world.restartInstance("worker-" + std::to_string(random() % 9));
+        world.run(world.now + 1);
+    }
+    world.run(20'000);
+    CHECK(world.doubleRuns == 0);
+    CHECK(holder.jobCount() == 0);
+    const auto completed = std::ranges::count_if(
+        world.outcomes, [](const auto &it) { return it.second.verdict == JobVerdict::Completed; });
+    CHECK(completed > serial / 2);
+}
+
 TEST_CASE("a paused holder and its successor never run a task twice", "[scheduler][generated]")
 {
     const auto seed = GENERATE(range(1, 9));
