Handle requests of other entries only if they are known to be recent

Cause: nothing told a process how old a message was. A frame counted as contact when it was read, and only the holder's own instances check the fencing token.

Change: replies carry the server's clock, and clients return the latest reading. A server with maxRequestAge passes a request on only if its age is known and small; otherwise the request waits, in order, until the client has returned a probe. A client that has given up has closed the connection, and what waits is dropped (requests-dropped). No pause has to be noticed for this, so bytes that a cut holds up are covered as well. An entry looks at the connection of a job's caller before it routes the job, before it offers runs, and after a pause. A job with several callers is cancelled when all have left, not when the first has.

Open: a caller that is cut off without a sign while its entry is paused.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -86,11 +86,20 @@
     rpc.incarnation = m_settings.self.incarnation;
     rpc.connectTimeout = Milliseconds{300};
     rpc.maxConnections = 1'024;
+    auto served = rpc;
+    served.maxRequestAge = m_settings.maxRequestAge;
     auto server = RpcServer::make(
-        m_io, Address::parse(m_settings.self.address).value(), rpc,
+        m_io, Address::parse(m_settings.self.address).value(), served,
         [self = shared_from_this()](const Hello &peer, MessageKind kind, const std::string &payload,
                                     const RpcReply &reply) {
-            boost::asio::post(self->m_io, [=] { self->onRpc(peer, kind, payload, reply); });
+            const auto readAt = self->m_clock.now();
+            boost::asio::post(self->m_io, [=] {
+                // The process may have been paused since.
+                if (self->m_clock.now() - readAt > self->m_settings.maxRequestAge)
+                    reply(Error{ErrorCode::Unavailable, "the request has become too old"});
+                else
+                    self->onRpc(peer, kind, payload, reply);
+            });
         });
     if (!server)
         return server.error();
@@ -188,12 +197,16 @@
                        static_cast<double>(m_heldCells.size()));
     m_metrics.setGauge("camphorspindle_instances_usable", "Held instances that can start new runs.",
                        static_cast<double>(m_scheduler.usableInstances(now)));
+    m_metrics.setGauge("camphorspindle_requests_held",
+                       "Requests of other entries that waited until their age was known.",
+                       static_cast<double>(m_rpc->heldRequests()));
     return m_metrics.text();
 }
 
 // --- Jobs of callers
 
-void FleetEntry::submit(const FleetJob &job, OutcomeCallback callback)
+void FleetEntry::submit(const FleetJob &job, OutcomeCallback callback,
+                        std::shared_ptr<CallerConnection> caller)
 {
     if (m_hasStoppedAccepting) {
         Log::decision(LogEvent::JobAnswered).kv("request", job.id).kv("reason", "shutting-down");
@@ -201,8 +214,8 @@
         return;
     }
     auto &pending = m_pendingJobs[job.id];
-    pending.callbacks.push_back(std::move(callback));
-    if (pending.callbacks.size() > 1) {
+    pending.callers.push_back({std::move(callback), std::move(caller)});
+    if (pending.callers.size() > 1) {
         Log::decision(LogEvent::JobJoined).kv("request", job.id);
         return;
     }
@@ -262,9 +275,22 @@
     return isPresent ? &it->second : nullptr;
 }
 
+bool FleetEntry::isWanted(const JobKey &job) const
+{
+    const auto it = m_pendingJobs.find(job.id);
+    const bool isLocal = it != m_pendingJobs.end() && it->second.scheduled == job;
+    return m_scheduler.isWanted(job, m_clock.now())
+        && !(isLocal && std::ranges::all_of(it->second.callers, &Caller::isGone));
+}
+
 void FleetEntry::route(const JobKey &key)
 {
     auto &pending = m_pendingJobs.at(key.id);
+    // A caller that has disconnected may have resent its job, which must not run twice.
+    if (std::ranges::all_of(pending.callers, &Caller::isGone)) {
+        abandon(key.id);
+        return;
+    }
     const auto *grant = nextGrant(pending.tried, true);
     if (grant == nullptr)
         grant = nextGrant(pending.tried, false);
@@ -366,8 +392,26 @@
         .kv("reason", outcome.reason)
         .kv("ms", (m_clock.now() - pending.arrivedAt).count());
     m_metrics.countJob(pending.job.queue, outcome.verdict, m_clock.now() - pending.arrivedAt);
-    for (const auto &callback : pending.callbacks)
-        callback(outcome);
+    for (const auto &caller : pending.callers)
+        caller.respond(outcome);
+}
+
+void FleetEntry::onDisconnect(const std::string &jobId)
+{
+    const auto it = m_pendingJobs.find(jobId);
+    if (it != m_pendingJobs.end() && std::ranges::all_of(it->second.callers, &Caller::isGone))
+        abandon(jobId);
+}
+
+void FleetEntry::abandonUnwantedJobs()
+{
+    std::vector<std::string> unwanted;
+    for (const auto &[id, pending] : m_pendingJobs) {
+        if (std::ranges::all_of(pending.callers, &Caller::isGone))
+            unwanted.push_back(id);
+    }
+    for (const auto &id : unwanted)
+        abandon(id);
 }
 
 void FleetEntry::abandon(const std::string &jobId)
@@ -485,6 +529,8 @@
     boost::asio::post(m_io, [self = shared_from_this()] {
         self->m_isScheduling = false;
         const auto now = self->m_clock.now();
+        if (self->m_scheduler.wasPaused(now))
+            self->abandonUnwantedJobs();
         std::vector<std::string> reachable;
         for (const auto &grant : self->m_cells.cells(self->m_settings.self.domain)) {
             if (self->m_link->hadRecentContact(grant.address))
@@ -602,10 +648,10 @@
 {
     while (!m_pendingJobs.empty()) {
         const auto jobId = m_pendingJobs.begin()->first;
-        const auto callbacks = m_pendingJobs.begin()->second.callbacks;
+        const auto callers = m_pendingJobs.begin()->second.callers;
         abandon(jobId);
-        for (const auto &callback : callbacks)
-            callback({JobVerdict::Unknown, "shutting-down", 0});
+        for (const auto &caller : callers)
+            caller.respond({JobVerdict::Unknown, "shutting-down", 0});
     }
 }
 
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -5,6 +5,7 @@
 #include "ControlWatch.h"
 #include "FleetMetrics.h"
 #include "HolderLink.h"
+#include "Http.h"
 #include "InstanceOrders.h"
 #include "RpcServer.h"
 #include "RunOfferClient.h"
@@ -41,6 +42,10 @@
     std::size_t maxStartWaiters = 1'000;
     /// Delay before holders are tried again.
     Milliseconds rerouteDelay{30};
+    /// A request of another entry that is older is handled only if that entry still waits. Together
+    /// with the timeout of a lost requester, this must be shorter than the time after which callers
+    /// resend.
+    Milliseconds maxRequestAge{300};
 };
 
 /// All calls must come from the thread of the io_context.
@@ -60,9 +65,12 @@
     void whenConfigured(std::function<void(Milliseconds waited)> callback);
     /// Runs a job; calls back when it has ended or was refused. Joins a job with the same id that
     /// is in progress here.
-    void submit(const FleetJob &job, OutcomeCallback callback);
-    /// The caller of a job has disconnected: cancels the job.
-    void abandon(const std::string &jobId);
+    /// @param caller whose disconnection, with that of all other callers of the job, ends the job;
+    /// may be null.
+    void submit(const FleetJob &job, OutcomeCallback callback,
+                std::shared_ptr<CallerConnection> caller = nullptr);
+    /// A caller of a job has disconnected: cancels the job unless another caller waits for it.
+    void onDisconnect(const std::string &jobId);
     /// Whether jobs can be served.
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::size_t jobsInProgress() const { return m_pendingJobs.size(); }
@@ -82,11 +90,20 @@
     void stop();
 
 private:
+    /// A caller that waits for the outcome of a job.
+    struct Caller
+    {
+        OutcomeCallback respond;
+        std::shared_ptr<CallerConnection> connection; ///< Null if it cannot disconnect.
+
+        [[nodiscard]] bool isGone() const { return connection && connection->isDisconnected(); }
+    };
+
     /// A job whose callers wait for a response here.
     struct PendingJob
     {
         FleetJob job;
-        std::vector<OutcomeCallback> callbacks;
+        std::vector<Caller> callers;
         std::vector<std::string> tried; ///< Addresses of holders that were tried.
         std::string address; ///< Address of the holder that has the job; empty for this entry.
         /// Identifies this submission, for what arrives after it has ended: the replies of holders,
@@ -116,6 +133,11 @@
     [[nodiscard]] std::optional<std::string>
     nextHolder(const std::vector<std::string> &tried) override;
     void onHolderFull(const std::string &address) override;
+    [[nodiscard]] bool isWanted(const JobKey &job) const override;
+    /// Cancels a job whose callers wait no longer.
+    void abandon(const std::string &jobId);
+    /// After a pause of this process: cancels the jobs whose callers have disconnected meanwhile.
+    void abandonUnwantedJobs();
     void route(const JobKey &key);
     /// No holder can be tried now: tries again later during the start grace period, and refuses the
     /// job after it.
--- a/src/Frame.cpp
+++ b/src/Frame.cpp
@@ -33,6 +33,7 @@
     append(bytes, FrameMagic);
     append(bytes, static_cast<std::uint32_t>(payload.size()));
     append(bytes, header.correlation);
+    append(bytes, header.serverClockMs);
     append(bytes, static_cast<std::uint16_t>(header.kind));
     append(bytes, static_cast<std::uint16_t>(header.type));
     bytes += payload;
@@ -48,9 +49,10 @@
     FrameHeader header;
     header.payloadBytes = take<std::uint32_t>(bytes);
     header.correlation = take<std::uint64_t>(bytes);
+    header.serverClockMs = take<std::uint64_t>(bytes);
     header.kind = static_cast<MessageKind>(take<std::uint16_t>(bytes));
     const auto type = take<std::uint16_t>(bytes);
-    if (type > static_cast<std::uint16_t>(FrameType::Refusal))
+    if (type > static_cast<std::uint16_t>(FrameType::ClockEcho))
         return Error{ErrorCode::InvalidMessage, "unknown frame type"};
     header.type = static_cast<FrameType>(type);
     if (header.payloadBytes > maxPayloadBytes)
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -58,12 +58,18 @@
     StopRuns = 75,
 };
 
-/// The role of a frame in a call.
-enum class FrameType : std::uint16_t { Request = 0, Reply = 1, Refusal = 2 };
+/// The role of a frame.
+enum class FrameType : std::uint16_t {
+    Request = 0,
+    Reply = 1,
+    Refusal = 2,
+    ClockProbe = 3, ///< The server sends its clock; the client returns it at once in a ClockEcho.
+    ClockEcho = 4,
+};
 
-/// Size of a frame header: magic (4 bytes), payload length (4), correlation id (8), kind (2), type
-/// (2).
-inline constexpr std::size_t FrameHeaderBytes = 20;
+/// Size of a frame header: magic (4 bytes), payload length (4), correlation id (8), server clock
+/// (8), kind (2), type (2).
+inline constexpr std::size_t FrameHeaderBytes = 28;
 
 /// Default limit of a frame's payload.
 inline constexpr std::size_t DefaultMaxFrameBytes = std::size_t{16} * 1024 * 1024;
@@ -73,6 +79,10 @@
 {
     std::uint32_t payloadBytes = 0;
     std::uint64_t correlation = 0; ///< Matches a reply to its request on one connection.
+    /// Milliseconds of the server's monotonic clock. A server sends the present time; a client
+    /// returns the latest that it has received on this connection, or 0. So the server knows on its
+    /// own clock when a frame was sent at the earliest.
+    std::uint64_t serverClockMs = 0;
     MessageKind kind = MessageKind::Hello;
     FrameType type = FrameType::Request;
 
--- a/src/Http.h
+++ b/src/Http.h
@@ -18,10 +18,18 @@
 /// Content type of error responses (RFC 7807).
 inline constexpr const char *ProblemContentType = "application/problem+json";
 
-/// Notifies the handler of a request when its caller closes the connection.
+/// Tells the handler of a request whether its caller has closed the connection.
 class CallerConnection
 {
 public:
+    CallerConnection() = default;
+    /// @param hasClosed whether the caller has closed the connection, also if the server has not
+    /// read that yet.
+    explicit CallerConnection(std::function<bool()> hasClosed)
+        : m_hasClosed(std::move(hasClosed))
+    {
+    }
+
     /// Sets the callback for a disconnect. It is called at most once, on the thread that reads the
     /// connection.
     void setOnDisconnect(std::function<void()> onDisconnect)
@@ -35,10 +43,15 @@
             onDisconnect();
     }
 
-    /// Returns whether the caller has disconnected and can no longer receive the response.
-    [[nodiscard]] bool isDisconnected() const { return m_isDisconnected; }
+    /// Returns whether the caller has disconnected and can no longer receive the response. Looks at
+    /// the connection, because a process that was paused has not read yet what happened meanwhile.
+    [[nodiscard]] bool isDisconnected() const
+    {
+        return m_isDisconnected || (m_hasClosed && m_hasClosed());
+    }
 
 private:
+    std::function<bool()> m_hasClosed;
     std::function<void()> m_onDisconnect;
     bool m_isDisconnected = false;
 };
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -202,7 +202,10 @@
         m_state->inFlight.fetch_add(1);
         m_isHandling = true;
         if (m_state->settings.detectsDisconnects) {
-            m_caller = std::make_shared<CallerConnection>();
+            m_caller = std::make_shared<CallerConnection>([weak = weak_from_this()] {
+                const auto self = weak.lock();
+                return !self || self->hasPeerClosed();
+            });
             request.caller = m_caller;
         }
         m_state->handler(std::move(request), makeRespond());
@@ -210,6 +213,16 @@
             startDisconnectRead();
     }
 
+    /// Whether the peer has closed or reset the connection and nothing is left to read before that.
+    [[nodiscard]] bool hasPeerClosed()
+    {
+        if (!m_stream.socket().is_open())
+            return true;
+        char byte = 0;
+        const auto n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && (errno == ECONNRESET || errno == EPIPE || errno == ETIMEDOUT));
+    }
+
     void startDisconnectRead()
     {
         m_isDisconnectReadPending = true;
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -216,6 +216,9 @@
     LogEventSpec{LogEvent::RequestRefused, "request-refused",
                  "path reason configuration request part",
                  "A call was rejected before it became a job."},
+    LogEventSpec{
+        LogEvent::RequestsDropped, "requests-dropped", "remote count reason",
+        "Requests that had waited in a socket were dropped: their sender had disconnected."},
     LogEventSpec{LogEvent::RoleChanged, "role-changed", "role term leader",
                  "A member became leader, candidate or follower."},
     LogEventSpec{LogEvent::RunEndUnknown, "run-end-unknown", "how",
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -109,6 +109,7 @@
     Refused,
     ReportRefused,
     RequestRefused,
+    RequestsDropped,
     RoleChanged,
     RunEndUnknown,
     RunEnded,
--- a/src/RpcClient.cpp
+++ b/src/RpcClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <unordered_map>
 #include <vector>
@@ -88,7 +89,8 @@
             if (!ec)
                 self->fail(correlation, Error{ErrorCode::Timeout, "reply timed out"});
         });
-        auto frame = encodeFrame({0, correlation, kind, FrameType::Request}, payload);
+        auto frame =
+            encodeFrame({0, correlation, m_serverClockMs, kind, FrameType::Request}, payload);
         if (m_stream) {
             m_stream->send(std::move(frame));
             return;
@@ -131,6 +133,7 @@
             return;
         }
         m_stream = std::make_shared<FrameStream>(std::move(*socket), m_settings.maxFrameBytes);
+        m_serverClockMs = 0;
         m_stream->start(
             [self = shared_from_this()](const FrameHeader &header, std::string payload) {
                 self->onFrame(header, std::move(payload));
@@ -142,7 +145,7 @@
         const Hello hello{WireVersion, m_settings.cluster, m_settings.instance,
                           m_settings.incarnation};
         m_stream->send(
-            encodeFrame({0, 0, MessageKind::Hello, FrameType::Request}, encodeMessage(hello)));
+            encodeFrame({0, 0, 0, MessageKind::Hello, FrameType::Request}, encodeMessage(hello)));
         for (const auto correlation : std::exchange(m_unsent, {})) {
             const auto it = m_pending.find(correlation);
             if (it != m_pending.end())
@@ -152,6 +155,12 @@
 
     void onFrame(const FrameHeader &header, std::string payload)
     {
+        m_serverClockMs = std::max(m_serverClockMs, header.serverClockMs);
+        if (header.type == FrameType::ClockProbe) {
+            m_stream->send(
+                encodeFrame({0, 0, m_serverClockMs, MessageKind::Ping, FrameType::ClockEcho}, {}));
+            return;
+        }
         const auto it = m_pending.find(header.correlation);
         // The entry of a call that timed out is gone, so its late reply is discarded.
         if (it == m_pending.end())
@@ -193,6 +202,7 @@
     std::unordered_map<std::uint64_t, Pending> m_pending;
     std::vector<std::uint64_t> m_unsent;
     std::uint64_t m_lastCorrelation = 0;
+    std::uint64_t m_serverClockMs = 0; ///< Latest clock of the server on this connection.
     bool m_isStopped = false;
 };
 
--- a/src/RpcServer.h
+++ b/src/RpcServer.h
@@ -27,7 +27,14 @@
     std::size_t maxFrameBytes = DefaultMaxFrameBytes;
     std::size_t maxConnections = 256;
     Milliseconds connectTimeout{500};
-    Milliseconds helloTimeout{2'000}; ///< Longest wait for the first frame of a peer.
+    /// Longest wait for the first frame of a peer, and for its reply to a clock probe.
+    Milliseconds helloTimeout{2'000};
+    /// A server passes on only requests that it knows to be sent within this time, on its own
+    /// clock; 0 for any age. Requests of unknown age wait until the peer has replied to a clock
+    /// probe. Those that waited in a socket while the process was paused or a link was cut are
+    /// dropped, unless their sender still has the connection open.
+    Milliseconds maxRequestAge{0};
+    std::size_t maxHeldRequests = 1'024; ///< Of one connection, while their age is unknown.
 
     auto operator<=>(const RpcSettings &) const = default;
 };
@@ -55,6 +62,8 @@
     /// Returns the number of connections refused or closed because of invalid input, a hello
     /// timeout or too many connections.
     [[nodiscard]] virtual std::uint64_t refusedPeers() const = 0;
+    /// Returns the number of requests whose age was unknown when they were read.
+    [[nodiscard]] virtual std::uint64_t heldRequests() const = 0;
     /// Returns the number of open connections.
     [[nodiscard]] virtual std::size_t connections() const = 0;
     /// Stops accepting and closes all connections. They are closed on the threads of the
--- a/src/RunOfferClient.cpp
+++ b/src/RunOfferClient.cpp
@@ -55,7 +55,8 @@
 void RunOfferClient::sendNext(const JobKey &job)
 {
     auto &open = m_offers.at(job);
-    const bool mayOffer = m_scheduler.hasJob(job) && open.tried.size() < m_maxOffers;
+    // The reply that leads here may have waited in a socket while this process was paused.
+    const bool mayOffer = m_choice.isWanted(job) && open.tried.size() < m_maxOffers;
     const auto address = mayOffer ? m_choice.nextHolder(open.tried) : std::nullopt;
     if (!address) {
         close(job);
--- a/src/RunOfferClient.h
+++ b/src/RunOfferClient.h
@@ -13,12 +13,14 @@
 
 namespace Camphor {
 
-/// Chooses among the holders of other cells.
+/// Decides whether and where runs are offered to the holders of other cells.
 class HolderChoice
 {
 public:
     virtual ~HolderChoice() = default;
 
+    /// Whether anybody still waits for the job.
+    [[nodiscard]] virtual bool isWanted(const JobKey &job) const = 0;
     /// The address of the next holder to try, other than the tried ones.
     [[nodiscard]] virtual std::optional<std::string>
     nextHolder(const std::vector<std::string> &tried) = 0;
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -200,6 +200,20 @@
     finish(jobId, {JobVerdict::Unknown, "cancelled", 0}, now);
 }
 
+bool RunScheduler::isWanted(const JobKey &key, Milliseconds now) const
+{
+    const auto *job = find(key);
+    if (job == nullptr || job->requester.empty())
+        return job != nullptr;
+    const auto contact = m_requesters.find(job->requester);
+    return contact != m_requesters.end() && now - contact->second <= m_settings.requesterTimeout;
+}
+
+bool RunScheduler::wasPaused(Milliseconds now) const
+{
+    return m_dueAt && now - *m_dueAt > m_settings.pauseThreshold;
+}
+
 void RunScheduler::onRequesterContact(const std::string &requester, Milliseconds now)
 {
     if (!requester.empty())
@@ -472,14 +486,14 @@
 
 void RunScheduler::advance(Milliseconds now)
 {
-    const bool wasPaused = m_dueAt && now - *m_dueAt > m_settings.pauseThreshold;
+    const bool hasResumed = wasPaused(now);
     for (auto &[id, instance] : m_instances) {
-        if (wasPaused)
+        if (hasResumed)
             instance.invalidate();
         instance.expireLeases(now);
         collectResults(instance, now);
     }
-    if (wasPaused)
+    if (hasResumed)
         onPause(now - *m_dueAt, now);
     std::vector<std::string> ended;
     for (const auto &[id, instance] : m_instances) {
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -101,6 +101,10 @@
     void cancel(const std::string &jobId, const std::string &requester, Milliseconds now);
     void onRequesterContact(const std::string &requester, Milliseconds now);
     [[nodiscard]] bool hasJob(const JobKey &job) const { return find(job) != nullptr; }
+    /// Whether the job is in progress and its requester still waits for it.
+    [[nodiscard]] bool isWanted(const JobKey &key, Milliseconds now) const;
+    /// Whether the process was paused since the last call of advance().
+    [[nodiscard]] bool wasPaused(Milliseconds now) const;
 
     // --- Runs offered to the holders of other cells
     /// Returns the runs of waiting jobs that do not fit here now. At most one offer for each job is
--- /dev/null
+++ b/test/correctness/CallerDisconnectTest.cpp
@@ -0,0 +1,95 @@
+/// @file Callers that have disconnected before the server reads their request or that fact.
+#include "HttpServer.h"
+#include "TestProcess.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/write.hpp>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr const char *Request = "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+
+/// A server whose event loop runs only when asked to.
+struct Server
+{
+    Server()
+    {
+        HttpServerSettings settings;
+        settings.listen = address;
+        settings.detectsDisconnects = true;
+        server = HttpServer::make(io, settings,
+                                  [this](const HttpRequest &request, const HttpRespond &respond) {
+                                      caller = request.caller;
+                                      isGoneAtHandling = caller->isDisconnected();
+                                      respondLater = respond;
+                                  })
+                     .value();
+    }
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        return waitUntil([&] {
+            io.restart();
+            io.poll();
+            return condition();
+        });
+    }
+
+    boost::asio::io_context io;
+    Address address{"127.0.0.1", freePort()};
+    std::shared_ptr<HttpServer> server;
+    std::shared_ptr<CallerConnection> caller;
+    bool isGoneAtHandling = false;
+    HttpRespond respondLater;
+};
+
+} // namespace
+
+TEST_CASE("a caller that left before its request was read counts as disconnected", "[http]")
+{
+    // Guards against an entry that was paused and runs the jobs of callers that have resent them.
+    const auto *how = GENERATE("stays", "closes", "resets");
+    CAPTURE(how);
+    Server server;
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(server.address.host), server.address.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string_view(Request)));
+    const std::string_view leaves = how;
+    if (leaves == "resets")
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+    if (leaves != "stays")
+        socket.close();
+    const bool isHandled = server.runUntil([&] {
+        return server.caller != nullptr
+            || (leaves == "resets" && server.server->connections() == 0);
+    });
+    CHECK(isHandled);
+    CHECK((server.caller == nullptr || server.isGoneAtHandling == (leaves != "stays")));
+    if (server.respondLater)
+        server.respondLater(makeResponse(200, "text/plain", ""));
+    socket.close();
+    CHECK(server.runUntil([&] { return server.server->connections() == 0; }));
+}
+
+TEST_CASE("a disconnection shows before the server has read it", "[http]")
+{
+    // Guards against decisions right after a pause that are made for callers which have left.
+    Server server;
+    boost::asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(server.address.host), server.address.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string_view(Request)));
+    REQUIRE(server.runUntil([&] { return server.caller != nullptr; }));
+    CHECK_FALSE(server.caller->isDisconnected());
+    socket.close();
+    CHECK(waitUntil([&] { return server.caller->isDisconnected(); })); // The loop does not run.
+    server.respondLater(makeResponse(200, "text/plain", ""));
+    CHECK(server.runUntil([&] { return server.server->connections() == 0; }));
+}
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -160,3 +160,36 @@
     CHECK(outcome->verdict == JobVerdict::NotRun);
     CHECK(outcome->reason == "no-instance");
 }
+
+TEST_CASE("a job whose only caller has left is not routed", "[entry]")
+{
+    // Guards against runs for a caller that has left, unnoticed so far, and has resent its job.
+    World world(Hour);
+    bool hasLeft = false;
+    const auto caller = std::make_shared<CallerConnection>([&] { return hasLeft; });
+    bool isAnswered = false;
+    world.entry->submit(makeJob(), [&](const JobOutcome &) { isAnswered = true; }, caller);
+    world.runAWhile();
+    CHECK(world.entry->jobsInProgress() == 1);
+    hasLeft = true;
+    world.startControl(true);
+    world.runUntil([&] { return world.entry->jobsInProgress() == 0; });
+    CHECK_FALSE(isAnswered);
+}
+
+TEST_CASE("a job is cancelled only when all of its callers have left", "[entry]")
+{
+    // Guards against a caller that gets no response because its own first connection, which the
+    // entry notices late, was broken.
+    World world(Hour);
+    const auto first = std::make_shared<CallerConnection>();
+    const auto second = std::make_shared<CallerConnection>();
+    for (const auto &it : {first, second}) {
+        it->setOnDisconnect([&] { world.entry->onDisconnect("job"); });
+        world.entry->submit(makeJob(), [](const JobOutcome &) { }, it);
+    }
+    first->notifyDisconnect();
+    CHECK(world.entry->jobsInProgress() == 1);
+    second->notifyDisconnect();
+    CHECK(world.entry->jobsInProgress() == 0);
+}
--- a/test/correctness/FleetProcessTest.cpp
+++ b/test/correctness/FleetProcessTest.cpp
@@ -153,3 +153,63 @@
     }
     CHECK(instances.doubleRuns == 0);
 }
+
+// Guards against a holder that was paused and then runs the jobs that waited in its sockets, after
+// their callers have resent them to others.
+TEST_CASE("a holder that was paused runs no jobs that were resent", "[fleet][process]")
+{
+    // With three cells, the holder that resumes can offer runs to another one than runs the resent
+    // job.
+    Fleet fleet(3);
+    SimulatedInstances instances(60);
+    instances.runMs = 1'500;
+    REQUIRE(fleet.awaitReady(instances));
+    REQUIRE(waitUntil([&] {
+        return instances.report(fleet.controls()[0])
+            && fleet.hasLogLine("entry-1", {"cell-held", "cell=north/2"});
+    }));
+    std::atomic<bool> isOver{false};
+    std::thread reporter([&] {
+        while (!isOver) {
+            (void)instances.report(fleet.controls()[0]);
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        }
+    });
+    constexpr int Callers = 8;
+    for (int round = 0; round < 3; ++round) {
+        CHECK(fleet.completeJob(1, "00000000000000d" + std::to_string(round)));
+        fleet.process("entry-0").signal(SIGSTOP);
+        std::atomic<int> resent{0};
+        std::vector<std::thread> callers;
+        for (int n = 0; n < Callers; ++n) {
+            callers.emplace_back([&, n] {
+                const auto jobId =
+                    "0000000000000" + std::to_string(round) + "e" + std::to_string(n);
+                (void)waitUntil([&] {
+                    const auto status = fleet.submitWide(1, jobId, 1);
+                    if (status == 502) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
+                        ++resent;
+                    }
+                    return status == 200;
+                });
+            });
+        }
+        // A caller leaves the paused entry and submits its job to the other one.
+        callers.emplace_back([&] {
+            const auto jobId = "0000000000000" + std::to_string(round) + "f0";
+            (void)fleet.submitWide(0, jobId, 1, Milliseconds{200});
+            std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
+            ++resent;
+            (void)fleet.submitWide(1, jobId, 1);
+        });
+        (void)waitUntil([&] { return resent > 0; });
+        CHECK(waitUntil([&] { return instances.running() > 0; }));
+        fleet.process("entry-0").signal(SIGCONT);
+        for (auto &it : callers)
+            it.join();
+    }
+    isOver = true;
+    reporter.join();
+    CHECK(instances.doubleRuns == 0);
+}
--- a/test/correctness/LedgerProcessTest.cpp
+++ b/test/correctness/LedgerProcessTest.cpp
@@ -98,11 +98,11 @@
     REQUIRE(caller.claim("a", "n").state == ClaimState::Granted);
 
     const auto hello = [](std::uint16_t version, const std::string &cluster) {
-        return encodeFrame({0, 0, MessageKind::Hello, FrameType::Request},
+        return encodeFrame({0, 0, 0, MessageKind::Hello, FrameType::Request},
                            encodeMessage(Hello{version, cluster, "entry-2", 1}));
     };
     const auto frame = [](MessageKind kind, const std::string &payload) {
-        return encodeFrame({0, 1, kind, FrameType::Request}, payload);
+        return encodeFrame({0, 1, 0, kind, FrameType::Request}, payload);
     };
     const auto validHello = hello(WireVersion, "test");
     auto oversizedLength = frame(MessageKind::Claim, "xxxx");
--- a/test/correctness/PlatformSettingsTest.cpp
+++ b/test/correctness/PlatformSettingsTest.cpp
@@ -26,7 +26,9 @@
     const double slowClock = 1.0 + scheduler.lease.clockDrift;
     CHECK(scheduler.lease.lease.count() < longestLeaseMs);
     CHECK(scheduler.lease.lease.count() * slowClock < resendMs);
-    CHECK(scheduler.requesterTimeout.count() < resendMs);
+    CHECK(scheduler.lease.maxLease.count() == longestLeaseMs);
+    // What a requester sent before it gave up may be read this much later.
+    CHECK(scheduler.requesterTimeout.count() + entry.maxRequestAge.count() < resendMs);
     // A requester must treat its holder as lost first: it must not wait for a job that the holder
     // has stopped.
     CHECK(entry.link.contactTimeout < scheduler.requesterTimeout);
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -39,7 +39,7 @@
 // Guards against a payload buffer that is sized by a forged frame length.
 TEST_CASE("a frame header with a payload above the limit is refused", "[wire]")
 {
-    const auto frame = encodeFrame({0, 1, MessageKind::Claim, FrameType::Request}, "payload");
+    const auto frame = encodeFrame({0, 1, 0, MessageKind::Claim, FrameType::Request}, "payload");
     const auto header = frame.substr(0, FrameHeaderBytes);
     CHECK(decodeFrameHeader(header, 7).isOk());
     CHECK_FALSE(decodeFrameHeader(header, 6).isOk());
