--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -23,6 +23,7 @@
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <exception>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -208,11 +209,25 @@
             });
             request.caller = m_caller;
         }
-        m_state->handler(std::move(request), makeRespond());
+        handle(std::move(request));
         if (m_caller && m_isHandling)
             startDisconnectRead();
     }
 
+    /// An exception of the handler ends this request, not the process.
+    void handle(HttpRequest request)
+    {
+        const auto respond = makeRespond();
+        const auto path = std::string(request.path());
+        try {
+            m_state->handler(std::move(request), respond);
+        } catch (const std::exception &e) {
+            Log::error(LogEvent::RequestFailed).kv("path", path).kv("reason", e.what());
+            respond(makeResponse(500, ProblemContentType,
+                                 R"({"outcome":"unknown","reason":"internal-error"})"));
+        }
+    }
+
     /// Whether the peer has closed or reset the connection and nothing is left to read before that.
     [[nodiscard]] bool hasPeerClosed()
     {
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -213,6 +213,8 @@
                  "A request was rejected before anything ran."},
     LogEventSpec{LogEvent::ReportRefused, "report-refused", "instance reason",
                  "A report of an instance is malformed and was rejected."},
+    LogEventSpec{LogEvent::RequestFailed, "request-failed", "path reason",
+                 "An unexpected error ended a request with status 500."},
     LogEventSpec{LogEvent::RequestRefused, "request-refused",
                  "path reason configuration request part",
                  "A call was rejected before it became a job."},
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -108,6 +108,7 @@
     RefusalUnknown,
     Refused,
     ReportRefused,
+    RequestFailed,
     RequestRefused,
     RequestsDropped,
     RoleChanged,
--- a/test/error/PlatformMessageErrorTest.cpp
+++ b/test/error/PlatformMessageErrorTest.cpp
@@ -84,13 +84,52 @@
         GENERATE(Row{R"("seq":4)", R"("seq":"4")"}, Row{R"("seq":4,)", ""},
                  Row{R"("state":"ready")", R"("state":"asleep")"}, Row{R"("state":"ready",)", ""},
                  Row{R"({"cpu":16000,"mem_mb":32768,"gpu":0})", "16"},
-                 Row{R"(["a","r1"])", R"(["a",1])"}, Row{R"("zone":"north",)", ""});
+                 Row{R"(["a","r1"])", R"(["a",1])"}, Row{R"("zone":"north",)", ""},
+                 Row{"127.0.0.1:8080", "127.0.0.1:99999"}, Row{"127.0.0.1:8080", "127.0.0.1:0"},
+                 Row{"127.0.0.1:8080", "127.0.0.1"}, Row{"16000", "18446744073709551615"},
+                 Row{"16000", "1e400"}, Row{R"("seq":4)", R"("seq":18446744073709551616)"});
     CAPTURE(row.from, row.to);
     REQUIRE(decodeReport("i-1", Report));
     CHECK_FALSE(decodeReport("i-1", replaced(Report, row.from, row.to)));
     CHECK_FALSE(decodeReport("i-1", "\xff\xfe not json"));
 }
 
+TEST_CASE("a report that entries could not read is rejected", "[platform]")
+{
+    // Guards against one odd report that makes entries stop following the list of instances: a
+    // message with that many elements is refused by its receivers.
+    std::string labels = R"(["a")";
+    for (int n = 0; n < 70'000; ++n)
+        labels += R"(,"")";
+    CHECK_FALSE(decodeReport("i-1", replaced(Report, R"(["a","r1"])", labels + "]")));
+    CHECK_FALSE(decodeReport("i 1", Report));
+    CHECK_FALSE(decodeReport("i\r\nHost: h", Report));
+    CHECK_FALSE(decodeReport(std::string(10'000, 'i'), Report));
+}
+
+TEST_CASE("a body that is nested deeply is rejected", "[platform]")
+{
+    // Guards against one message that takes all memory, or all of the stack, and ends the process.
+    constexpr std::size_t Levels = 2'000'000;
+    const auto array = std::string(Levels, '[') + std::string(Levels, ']');
+    std::string object;
+    for (std::size_t n = 0; n < Levels; ++n)
+        object += R"({"a":)";
+    object += "1" + std::string(Levels, '}');
+    for (const auto &nested : {array, object}) {
+        CHECK_FALSE(decodeConfiguration(
+            replaced(Configuration, R"("limits":{})", R"("limits":)" + nested)));
+        CHECK_FALSE(decodeJob("0123456789abcdef", "q",
+                              replaced(Job, R"("spec":"text")", R"("spec":)" + nested)));
+        CHECK(decodeStartTime(nested) == 0);
+        CHECK(decodeOrderReply(409, nested).result == OrderResult::NoRoom);
+        CHECK(decodeHoldReply(200, nested).result == OrderResult::NoReply);
+    }
+    // Brackets within a text are no levels.
+    const auto text = R"("spec":"\"\\)" + std::string(100, '[') + '"';
+    CHECK(decodeJob("0123456789abcdef", "q", replaced(Job, R"("spec":"text")", text)));
+}
+
 TEST_CASE("jobs that cannot be parsed and jobs that are not supported are distinguished",
           "[platform]")
 {
@@ -132,6 +171,8 @@
           == OrderResult::Fenced);
     CHECK(decodeOrderReply(409, R"({"clock_ms":5,"reason":"late"})").result
           == OrderResult::TooLate);
+    CHECK(decodeOrderReply(409, R"({"clock_ms":5,"reason":7})").result == OrderResult::NoRoom);
+    CHECK(decodeOrderReply(409, "[]").result == OrderResult::NoRoom);
     CHECK(decodeOrderReply(421, "").result == OrderResult::WrongInstance);
     CHECK(decodeOrderReply(503, "").result == OrderResult::Unhealthy);
     const auto list = decodeHoldReply(200,
