End the session of a caller that disconnects during its request

Cause: the disconnection was reported to the handler, which dropped the callback; nothing else ended the session, and the count of requests in flight, kept beside the set of sessions, stayed too high.

Change: the session ends, and a later response is discarded; requests in flight are counted from the sessions. Peers that are gone without a sign are found by keep-alive within half a minute.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -183,7 +183,7 @@
     return m_configuration && !m_isLeaving && !m_watch->view().grants.empty();
 }
 
-std::string FleetEntry::metricsText()
+std::string FleetEntry::metricsText(std::size_t callerConnections)
 {
     const auto now = m_clock.now();
     m_metrics.setGauge("camphorspindle_configuration_version", "Version in force.",
@@ -197,6 +197,8 @@
                        static_cast<double>(m_heldCells.size()));
     m_metrics.setGauge("camphorspindle_instances_usable", "Held instances that can start new runs.",
                        static_cast<double>(m_scheduler.usableInstances(now)));
+    m_metrics.setGauge("camphorspindle_caller_connections", "Open connections of callers.",
+                       static_cast<double>(callerConnections));
     m_metrics.setGauge("camphorspindle_requests_held",
                        "Requests of other entries that waited until their age was known.",
                        static_cast<double>(m_rpc->heldRequests()));
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -75,7 +75,8 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::size_t jobsInProgress() const { return m_pendingJobs.size(); }
     /// The response body of /metrics.
-    [[nodiscard]] std::string metricsText();
+    /// @param callerConnections number of open connections of callers.
+    [[nodiscard]] std::string metricsText(std::size_t callerConnections);
     /// After leave(): whether the entry has no job any more, and either has no cell or has waited
     /// long enough for the release of its cells.
     [[nodiscard]] bool hasLeft() const { return m_hasLeft; }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/http.hpp>
 
 #include <linux/filter.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -62,6 +64,23 @@
         Log::warning(LogEvent::ListenFilterFailed).kv("errno", errno);
 }
 
+/// Lets the kernel close a connection whose peer is gone without a sign, such as one that was cut
+/// off, within half a minute. Its default is hours, which remains in force where the options cannot
+/// be set.
+void probeIdlePeer(int socket)
+{
+    constexpr int FirstProbeAfterSeconds = 15;
+    constexpr int SecondsBetweenProbes = 5;
+    constexpr int LostProbes = 3;
+    const auto set = [socket](int level, int option, int value) {
+        (void)::setsockopt(socket, level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, FirstProbeAfterSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, SecondsBetweenProbes);
+    set(IPPROTO_TCP, TCP_KEEPCNT, LostProbes);
+}
+
 class Session;
 
 /// The open sessions, so that a drain can close them.
@@ -106,7 +125,6 @@
     HttpHandler handler;
     SessionSet sessions;
     std::atomic<bool> draining = false;
-    std::atomic<std::size_t> inFlight = 0;
 };
 
 /// One connection. All of its handlers run on its strand.
@@ -124,6 +142,8 @@
         Asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->readNext(); });
     }
 
+    [[nodiscard]] bool isHandling() const { return m_isHandling; }
+
     void closeIfIdle()
     {
         Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
@@ -200,7 +220,6 @@
             request.headers[lowerCase({field.name_string().data(), field.name_string().size()})] =
                 std::string(field.value());
         request.body = std::move(message.body());
-        m_state->inFlight.fetch_add(1);
         m_isHandling = true;
         if (m_state->settings.detectsDisconnects) {
             m_caller = std::make_shared<CallerConnection>([weak = weak_from_this()] {
@@ -255,7 +274,12 @@
         } else if (!m_isHandling) {
             onFirstBytes(ec, n);
         } else if (ec) {
-            m_caller->notifyDisconnect();
+            // Nobody is left to read a response, so the session ends here; a later response is
+            // discarded.
+            const auto caller = std::exchange(m_caller, nullptr);
+            m_isHandling = false;
+            close();
+            caller->notifyDisconnect();
         } else {
             // The next request has begun to arrive; it is read after the response to this one.
             m_buffer.commit(n);
@@ -271,7 +295,8 @@
             // dispatch() writes inline on a thread of the io_context, which avoids a thread switch.
             Asio::dispatch(self->m_stream.get_executor(),
                            [self, response = std::move(response)]() mutable {
-                               self->write(std::move(response), true);
+                               if (self->m_isHandling)
+                                   self->write(std::move(response));
                            });
         };
     }
@@ -286,14 +311,14 @@
         if (!isParserError || isConnectionEnd)
             close();
         else if (ec == Http::error::body_limit)
-            write(makeLimitProblem(413, "body-too-large"), false);
+            write(makeLimitProblem(413, "body-too-large"));
         else if (ec == Http::error::header_limit || ec == Http::error::buffer_overflow)
-            write(makeLimitProblem(431, "header-too-large"), false);
+            write(makeLimitProblem(431, "header-too-large"));
         else
-            write(makeLimitProblem(400, "malformed-http"), false);
+            write(makeLimitProblem(400, "malformed-http"));
     }
 
-    void write(HttpResponse response, bool isCounted)
+    void write(HttpResponse response)
     {
         m_response.emplace();
         m_response->version(11);
@@ -305,17 +330,14 @@
         m_response->body() = std::move(response.body);
         m_response->prepare_payload();
         m_stream.expires_after(toChrono(m_state->settings.writeTimeout));
-        Http::async_write(
-            m_stream, *m_response,
-            [self = shared_from_this(), keepAlive, isCounted](ErrorCodeAsio ec, std::size_t) {
-                self->onWritten(ec, keepAlive, isCounted);
-            });
+        Http::async_write(m_stream, *m_response,
+                          [self = shared_from_this(), keepAlive](ErrorCodeAsio ec, std::size_t) {
+                              self->onWritten(ec, keepAlive);
+                          });
     }
 
-    void onWritten(ErrorCodeAsio ec, bool keepAlive, bool isCounted)
+    void onWritten(ErrorCodeAsio ec, bool keepAlive)
     {
-        if (isCounted)
-            m_state->inFlight.fetch_sub(1);
         m_isHandling = false;
         m_caller.reset();
         m_stream.expires_never();
@@ -384,7 +406,7 @@
     bool m_hadRequest = false;
     bool m_closeWhenCancelled = false;
     std::shared_ptr<CallerConnection> m_caller; ///< The caller of the request in progress.
-    bool m_isHandling = false;
+    std::atomic<bool> m_isHandling = false; ///< Set until the response is completely written.
     bool m_isDisconnectReadPending = false; ///< A read is pending while a request is being handled.
     bool m_lingerAfterDisconnectRead = false;
     const std::chrono::steady_clock::time_point m_createdAt = std::chrono::steady_clock::now();
@@ -426,8 +448,17 @@
     }
 
     [[nodiscard]] std::uint16_t port() const override { return m_port; }
-    [[nodiscard]] std::size_t requestsInFlight() const override { return m_state->inFlight.load(); }
+    [[nodiscard]] std::size_t requestsInFlight() const override
+    {
+        const auto sessions = m_state->sessions.copy();
+        return static_cast<std::size_t>(
+            std::ranges::count_if(sessions, [](const auto &it) { return it->isHandling(); }));
+    }
     [[nodiscard]] std::size_t connections() const override { return m_state->sessions.size(); }
+    [[nodiscard]] bool hasRoom() const override
+    {
+        return m_state->sessions.size() < m_state->settings.maxConnections;
+    }
 
     void startDrain() override { m_state->draining = true; }
 
@@ -467,10 +498,10 @@
             });
             return;
         }
-        if (m_state->sessions.size() < m_state->settings.maxConnections) {
+        if (hasRoom()) {
             ErrorCodeAsio ignored;
             socket.set_option(Tcp::no_delay(true), ignored);
-            socket.set_option(Asio::socket_base::keep_alive(true), ignored);
+            probeIdlePeer(socket.native_handle());
             auto session = std::make_shared<Session>(std::move(socket), m_state);
             m_state->sessions.add(session);
             session->start();
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -27,8 +27,9 @@
     Milliseconds readTimeout{10'000}; ///< Longest time from the first byte to the complete request.
     Milliseconds writeTimeout{10'000}; ///< Longest time to write a response.
     /// Reads from the connection while a request is being handled, so that the handler is notified
-    /// when the caller disconnects. Once such a connection has served a request, TCP keep-alive
-    /// probes and not idleTimeout close it if it is idle and its peer is gone.
+    /// when the caller disconnects. That ends the session; a later response is discarded. Once such
+    /// a connection has served a request, TCP keep-alive probes and not idleTimeout close it if it
+    /// is idle and its peer is gone.
     bool detectsDisconnects = false;
 
     auto operator<=>(const HttpServerSettings &) const = default;
@@ -57,6 +58,8 @@
     /// written.
     [[nodiscard]] virtual std::size_t requestsInFlight() const = 0;
     [[nodiscard]] virtual std::size_t connections() const = 0;
+    /// Returns whether another connection would be accepted.
+    [[nodiscard]] virtual bool hasRoom() const = 0;
 
     /// From now on every response closes its connection, so that callers reconnect to other
     /// entries.
--- a/test/correctness/CallerDisconnectTest.cpp
+++ b/test/correctness/CallerDisconnectTest.cpp
@@ -15,6 +15,8 @@
 
 constexpr const char *Request = "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
 
+constexpr std::size_t MaxConnections = 3;
+
 /// A server whose event loop runs only when asked to.
 struct Server
 {
@@ -23,11 +25,13 @@
         HttpServerSettings settings;
         settings.listen = address;
         settings.detectsDisconnects = true;
+        settings.maxConnections = MaxConnections;
         server = HttpServer::make(io, settings,
                                   [this](const HttpRequest &request, const HttpRespond &respond) {
                                       caller = request.caller;
                                       isGoneAtHandling = caller->isDisconnected();
                                       respondLater = respond;
+                                      ++handled;
                                   })
                      .value();
     }
@@ -46,6 +50,7 @@
     std::shared_ptr<HttpServer> server;
     std::shared_ptr<CallerConnection> caller;
     bool isGoneAtHandling = false;
+    int handled = 0;
     HttpRespond respondLater;
 };
 
@@ -93,3 +98,31 @@
     server.respondLater(makeResponse(200, "text/plain", ""));
     CHECK(server.runUntil([&] { return server.server->connections() == 0; }));
 }
+
+TEST_CASE("a caller that leaves at any point of its request costs no session", "[http]")
+{
+    // Guards against an entry that closes each new connection, for good, after thousands of callers
+    // have left before their response.
+    const std::string_view request = Request;
+    const auto sent =
+        GENERATE_COPY(std::size_t{0}, std::size_t{10}, request.size() - 1, request.size());
+    CAPTURE(sent);
+    Server server;
+    boost::asio::io_context io;
+    for (std::size_t n = 0; n < 4 * MaxConnections; ++n) {
+        Tcp::socket socket(io);
+        socket.connect({boost::asio::ip::make_address(server.address.host), server.address.port});
+        boost::asio::write(socket, boost::asio::buffer(request.substr(0, sent)));
+        const auto before = server.handled;
+        if (sent == request.size())
+            REQUIRE(server.runUntil([&] { return server.handled > before; }));
+        socket.close();
+        REQUIRE(server.runUntil([&] { return server.server->connections() == 0; }));
+        CHECK(server.server->requestsInFlight() == 0);
+    }
+    CHECK(server.server->hasRoom());
+    // A response that comes too late is discarded.
+    if (server.respondLater)
+        server.respondLater(makeResponse(200, "text/plain", ""));
+    CHECK(server.runUntil([&] { return server.server->requestsInFlight() == 0; }));
+}
