Use an instance only if its present incarnation has reported

Cause: the report of the earlier incarnation stayed in use after a list had named a later one; and a start could reach an incarnation of which no list had been read, because the HTTP client replaced a connection that had ended.

Change: without a report of the listed incarnation an instance is not used.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -125,6 +125,12 @@
         if (!ec)
             self->releaseStartWaiters();
     });
+    m_instances->setOnDisconnect([weak = weak_from_this()](const std::string &address) {
+        if (const auto self = weak.lock()) {
+            self->m_scheduler.onDisconnect(address);
+            self->schedule();
+        }
+    });
     armTimer(m_clock.now());
     return okStatus();
 }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -81,6 +81,34 @@
         return all;
     }
 
+    void onConnected(const Address &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_connected[address];
+    }
+
+    void onDisconnected(const Address &address, bool isEndedByPeer)
+    {
+        std::function<void(const Address &)> callback;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto it = m_connected.find(address);
+            const bool wasLast = --it->second == 0;
+            if (wasLast)
+                m_connected.erase(it);
+            if (!m_isClosed && (wasLast || isEndedByPeer))
+                callback = m_onDisconnect;
+        }
+        if (callback)
+            callback(address);
+    }
+
+    void setOnDisconnect(std::function<void(const Address &)> callback)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_onDisconnect = std::move(callback);
+    }
+
     const HttpClientSettings settings;
     std::atomic<std::uint64_t> unsolicitedResponses = 0;
     std::atomic<std::size_t> open = 0;
@@ -89,6 +117,8 @@
     std::mutex m_mutex;
     bool m_isClosed = false;
     std::map<Address, std::vector<std::shared_ptr<Connection>>> m_idle;
+    std::map<Address, std::size_t> m_connected; ///< Number of established connections.
+    std::function<void(const Address &)> m_onDisconnect;
 };
 
 /// One connection with at most one request at a time. All of its handlers run on its strand.
@@ -137,6 +167,8 @@
             m_stream.socket().cancel(ignored);
         } else if (m_isConnected) {
             write();
+        } else if (m_hasEnded) {
+            connectAgain();
         } else {
             connect();
         }
@@ -179,6 +211,7 @@
             return;
         }
         m_isConnected = true;
+        m_pool->onConnected(m_address);
         ErrorCodeAsio ignored;
         m_stream.socket().set_option(Tcp::no_delay(true), ignored);
         write();
@@ -269,30 +302,40 @@
             m_pool->unsolicitedResponses.fetch_add(1);
         const bool canStart =
             m_startAfterIdleRead && ec == Asio::error::operation_aborted && n == 0;
+        const bool isEndedByPeer = ec != Beast::error::timeout;
         if (std::exchange(m_startAfterIdleRead, false)) {
             if (canStart) {
                 write();
                 return;
             }
-            // The connection ended while it was idle, so nothing was sent: use a new one.
-            reconnect();
+            // The connection ended while it was idle, so nothing was sent.
+            closeNow(isEndedByPeer);
+            connectAgain();
             return;
         }
         m_pool->remove(m_address, shared_from_this());
         // A request may have taken the connection from the pool in the meantime. It finds the
-        // connection closed and opens a new one.
-        closeNow();
+        // connection closed.
+        m_hasEnded = true;
+        closeNow(isEndedByPeer);
     }
 
-    void reconnect()
+    void connectAgain()
     {
-        closeNow();
+        if (!m_pool->settings.replacesEndedConnections) {
+            Asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+                self->fail(ErrorCode::ConnectionLost, "the idle connection has ended", false);
+            });
+            return;
+        }
         m_buffer.clear();
         connect();
     }
 
     void failTransfer(ErrorCodeAsio ec)
     {
+        if (ec != Beast::error::timeout)
+            closeNow(true);
         if (ec == Beast::error::timeout)
             fail(ErrorCode::Timeout, "response timed out", m_bytesWritten);
         else if (ec == Http::error::body_limit)
@@ -310,11 +353,12 @@
         callback(HttpFailure{Error{code, std::move(message)}, maybeSent});
     }
 
-    void closeNow()
+    void closeNow(bool isEndedByPeer = false)
     {
-        m_isConnected = false;
         ErrorCodeAsio ignored;
         m_stream.socket().close(ignored);
+        if (std::exchange(m_isConnected, false))
+            m_pool->onDisconnected(m_address, isEndedByPeer);
     }
 
     Beast::tcp_stream m_stream;
@@ -326,6 +370,7 @@
     HttpCallback m_callback;
     Milliseconds m_timeout;
     bool m_isConnected = false;
+    bool m_hasEnded = false; ///< It was established and has ended while it was idle.
     bool m_isIdleReadPending = false;
     bool m_startAfterIdleRead = false;
     bool m_bytesWritten = false;
@@ -353,6 +398,10 @@
         connection->send(std::move(request), timeout, std::move(callback));
     }
 
+    void setOnDisconnect(std::function<void(const Address &)> onDisconnect) override
+    {
+        m_pool->setOnDisconnect(std::move(onDisconnect));
+    }
     [[nodiscard]] std::uint64_t unsolicitedResponses() const override
     {
         return m_pool->unsolicitedResponses;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -26,6 +26,9 @@
     /// Idle connections are closed after this time. It is shorter than the idle timeout of the
     /// servers, so that a request rarely uses a connection that the server is closing.
     Milliseconds idleTimeout{20'000};
+    /// Whether a request whose idle connection turns out to have ended uses a new one. Otherwise it
+    /// fails unsent, because another process may have started at the address.
+    bool replacesEndedConnections = true;
 
     auto operator<=>(const HttpClientSettings &) const = default;
 };
@@ -59,6 +62,11 @@
     virtual void send(const Address &address, HttpRequest request, Milliseconds timeout,
                       HttpCallback callback) = 0;
 
+    /// Sets a callback for connections that end. It is called with the address when the peer has
+    /// ended a connection, and when the last one to an address has ended in any way: a process that
+    /// accepts the next one may be another one. On a thread of the io_context.
+    virtual void setOnDisconnect(std::function<void(const Address &)> onDisconnect) = 0;
+
     /// Returns how often bytes arrived that belong to no request, such as a second response.
     [[nodiscard]] virtual std::uint64_t unsolicitedResponses() const = 0;
     [[nodiscard]] virtual std::size_t openConnections() const = 0;
--- a/src/InstanceOrders.h
+++ b/src/InstanceOrders.h
@@ -103,6 +103,10 @@
     virtual void start(const StartOrder &order, Milliseconds timeout, OrderCallback callback) = 0;
     virtual void stop(const StopOrder &order, Milliseconds timeout, OrderCallback callback) = 0;
     virtual void hold(const HoldOrder &order, Milliseconds timeout, HoldCallback callback) = 0;
+
+    /// Sets a callback for an address whose connections have ended, so that another incarnation may
+    /// reply there from now on. A start must reach no incarnation that no list was read of.
+    virtual void setOnDisconnect(std::function<void(const std::string &address)> onDisconnect) = 0;
 };
 
 } // namespace Camphor
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -37,6 +37,7 @@
         return;
     onIncarnation(report.key.startTimeMs, now);
     m_report = report;
+    m_isReportOutdated = false;
 }
 
 void LeasedInstance::onIncarnation(std::uint64_t startTimeMs, Milliseconds now)
@@ -60,6 +61,7 @@
         it = next;
     }
     m_report.key.startTimeMs = startTimeMs;
+    m_isReportOutdated = true;
     m_processedThrough = m_ackedThrough = m_ackInFlight = 0;
     m_isHoldInFlight = m_isSynced = false;
     m_clockMs.reset();
@@ -69,7 +71,7 @@
 
 bool LeasedInstance::isUsable(Milliseconds now) const
 {
-    return isSynced() && !m_isFenced && !m_isOtherIncarnation && m_clockMs
+    return isSynced() && !m_isFenced && !m_isOtherIncarnation && !m_isReportOutdated && m_clockMs
         && m_report.state == InstanceState::Ready && m_missedReplies < MaxMissedReplies
         && now >= m_backoffUntil;
 }
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -98,6 +98,8 @@
     void expireLeases(Milliseconds now);
     /// This process was paused for so long that its view is outdated: the lists are read again.
     void invalidate();
+    /// The connections to the instance have ended, so another incarnation may reply from now on.
+    void onDisconnect() { invalidate(); }
     /// The instance is gone: ends all its runs.
     void endAll(Milliseconds now);
     /// Another holder has taken over: ends all runs without a known result and orders nothing more.
@@ -171,6 +173,9 @@
     bool m_isSynced = false;
     bool m_isFenced = false;
     bool m_isOtherIncarnation = false;
+    /// The report is of an earlier incarnation, which may have had another service, capacity and
+    /// other labels.
+    bool m_isReportOutdated = false;
     std::optional<double> m_clockMs; ///< Lower bound of the instance's clock at m_clockAt.
     Milliseconds m_clockAt;
     double m_leaseUntilMs = 0; ///< Latest lease expiry in any order, on the instance's clock.
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -297,6 +297,14 @@
 
 // --- Replies
 
+void RunScheduler::onDisconnect(const std::string &address)
+{
+    for (auto &[id, instance] : m_instances) {
+        if (instance.report().address == address)
+            instance.onDisconnect();
+    }
+}
+
 void RunScheduler::onStartReply(const StartOrder &order, const OrderReply &reply, Milliseconds now)
 {
     auto *instance = find(order.target.instance);
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -138,6 +138,9 @@
     }
 
     // --- Replies of instances
+    /// The connections to the instance at this address have ended: nothing is started there before
+    /// its lists were read again.
+    void onDisconnect(const std::string &address);
     void onStartReply(const StartOrder &order, const OrderReply &reply, Milliseconds now);
     void onStopReply(const StopOrder &order, const OrderReply &reply, Milliseconds now);
     void onHoldReply(const HoldOrder &order, const HoldReply &reply, Milliseconds now);
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -20,6 +20,7 @@
     void start(const StartOrder &, Milliseconds, OrderCallback) override { }
     void stop(const StopOrder &, Milliseconds, OrderCallback) override { }
     void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
+    void setOnDisconnect(std::function<void(const std::string &)>) override { }
 };
 
 std::string encodedConfiguration(std::uint64_t version)
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -385,3 +385,38 @@
     list(800, 25);
     CHECK(instance.stalledRuns(Milliseconds{400}).size() == 1);
 }
+
+TEST_CASE("an instance whose present incarnation has not reported is not used", "[leased]")
+{
+    // Guards against tasks that start on an instance which has restarted with other labels.
+    auto instance = makeSynced();
+    instance.onDisconnect();
+    CHECK_FALSE(instance.isUsable(Milliseconds{10}));
+    const auto first = instance.nextHold(Milliseconds{10});
+    REQUIRE(first);
+    instance.onHoldReply(first->serial, laterListOf(Milliseconds{5}, {}), Milliseconds{11});
+    const auto second = instance.nextHold(Milliseconds{12});
+    REQUIRE(second);
+    instance.onHoldReply(second->serial, laterListOf(Milliseconds{6}, {}), Milliseconds{13});
+    CHECK(instance.isSynced());
+    CHECK_FALSE(instance.isUsable(Milliseconds{13}));
+    instance.update(makeReport(), Milliseconds{14}); // A late one of the earlier incarnation.
+    CHECK_FALSE(instance.isUsable(Milliseconds{14}));
+    auto report = makeReport();
+    report.key.startTimeMs = 2'000;
+    report.capacity = {8'000, 1'000, 0};
+    instance.update(report, Milliseconds{15});
+    CHECK(instance.isUsable(Milliseconds{15}));
+    CHECK(instance.freeCapacity() == report.capacity);
+}
+
+TEST_CASE("after a disconnection an instance is used once its lists were read again", "[leased]")
+{
+    auto instance = makeSynced();
+    const auto key = startAt(instance, "a.0.0.0", Milliseconds{1});
+    instance.onStartReply(key, accepted(Milliseconds{2}), Milliseconds{2});
+    instance.onDisconnect();
+    listRuns(instance, {{key, 10}}, Milliseconds{3});
+    CHECK(instance.isUsable(Milliseconds{4}));
+    CHECK(instance.runCount() == 1);
+}
