--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -162,7 +162,7 @@
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "running-job"});
         return {job.id, it->second.submission};
     }
-    const JobKey key{job.id, ++m_lastSubmission};
+    JobKey key{job.id, ++m_lastSubmission};
     const auto refuse = [&](const char *reason, std::uint32_t retryAfterMs) {
         m_results.push_back({key, {JobVerdict::NotRun, reason, retryAfterMs}});
         return key;
