--- a/test/correctness/FleetProcessTest.cpp
+++ b/test/correctness/FleetProcessTest.cpp
@@ -181,6 +181,7 @@
         fleet.process("entry-0").signal(SIGSTOP);
         std::atomic<int> resent{0};
         std::vector<std::thread> callers;
+        callers.reserve(Callers + 1);
         for (int n = 0; n < Callers; ++n) {
             callers.emplace_back([&, n] {
                 const auto jobId =
--- a/test/correctness/HttpDisconnectTest.cpp
+++ b/test/correctness/HttpDisconnectTest.cpp
@@ -61,7 +61,8 @@
         HttpRequest request;
         request.method = "GET";
         request.target = "/";
-        client->send(address, request, Milliseconds{30'000}, [&](HttpResult it) { result = it; });
+        client->send(address, request, Milliseconds{30'000},
+                     [&](const HttpResult &it) { result = it; });
         CHECK(runUntil([&] { return result.has_value(); }));
         return result;
     }
