Know an accepted run until its end was delivered

Cause: the holder that has the job asks for the ends of runs that another holder has accepted. A question that arrived between the end of a run and its delivery to those who wait, a moment later in the same pass, found the run neither running nor ended, and was answered 'unknown'.

Change: RunScheduler::hasAccepted is true until the end was taken.

Evidence: the new test fails with the former condition.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -498,7 +498,7 @@
     });
     m_waiters.await(
         runs, [reply](const AwaitRunsReply &ended) { reply(encodeMessage(ended)); },
-        [this](const AcceptedRunKey &key) { return m_scheduler.isRunningAccepted(key); });
+        [this](const AcceptedRunKey &key) { return m_scheduler.hasAccepted(key); });
 }
 
 void FleetEntry::onStopRuns(const std::string &requester, const std::string &payload,
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -155,7 +155,8 @@
     [[nodiscard]] std::vector<JobResult> takeResults() { return std::exchange(m_results, {}); }
     [[nodiscard]] std::vector<ScheduleEvent> takeEvents() { return std::exchange(m_events, {}); }
 
-    [[nodiscard]] bool isRunningAccepted(const AcceptedRunKey &key) const;
+    /// Whether an accepted run is running, or has ended and its end was not taken yet.
+    [[nodiscard]] bool hasAccepted(const AcceptedRunKey &key) const;
     [[nodiscard]] std::size_t jobCount() const { return m_jobs.size(); }
     [[nodiscard]] std::size_t acceptedRunCount() const { return m_acceptedRuns.size(); }
     [[nodiscard]] std::size_t usableInstances(Milliseconds now) const;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -163,18 +163,20 @@
     return {std::move(started)};
 }
 
-bool RunScheduler::isRunningAccepted(const AcceptedRunKey &key) const
+bool RunScheduler::hasAccepted(const AcceptedRunKey &key) const
 {
     const auto it = m_acceptedRuns.find(key.run);
-    return it != m_acceptedRuns.end() && it->second.requester == key.requester
+    const bool isRunning = it != m_acceptedRuns.end() && it->second.requester == key.requester
         && it->second.submission == key.submission;
+    return isRunning
+        || std::ranges::find(m_acceptedEnds, key, &AcceptedRunEnd::key) != m_acceptedEnds.end();
 }
 
 void RunScheduler::stopOffered(const StopRunsRequest &request, const std::string &requester,
                                Milliseconds now)
 {
     for (const auto &key : request.runs) {
-        if (!isRunningAccepted({requester, request.job.submission, key}))
+        if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
             instance.abandon(key, now);
--- a/src/RunWaiters.cpp
+++ b/src/RunWaiters.cpp
@@ -12,13 +12,13 @@
 } // namespace
 
 void RunWaiters::await(const std::vector<AcceptedRunKey> &runs, Reply reply,
-                       const std::function<bool(const AcceptedRunKey &)> &isRunning)
+                       const std::function<bool(const AcceptedRunKey &)> &willEnd)
 {
     AwaitRunsReply ended;
     for (const auto &key : runs) {
         if (const auto node = m_ends.extract(key); !node.empty())
             ended.ends.push_back(node.mapped().outcome);
-        else if (!isRunning(key))
+        else if (!willEnd(key))
             ended.ends.push_back({key.run, RunEnd::LeaseExpired, true, 0, {}});
     }
     if (!ended.ends.empty() || runs.empty()) {
--- a/src/RunWaiters.h
+++ b/src/RunWaiters.h
@@ -18,11 +18,11 @@
 public:
     using Reply = std::function<void(const AwaitRunsReply &)>;
 
-    /// Calls back when at least one of the runs has ended; at once if one has. A run that is
-    /// neither running nor known to have ended counts as ended with an unknown result.
-    /// @param isRunning whether an accepted run is running.
+    /// Calls back when at least one of the runs has ended; at once if one has. A run whose end is
+    /// neither known nor to come counts as ended with an unknown result.
+    /// @param willEnd whether onEnd() will be called for an accepted run.
     void await(const std::vector<AcceptedRunKey> &runs, Reply reply,
-               const std::function<bool(const AcceptedRunKey &)> &isRunning);
+               const std::function<bool(const AcceptedRunKey &)> &willEnd);
     /// An accepted run has ended. The end is retained until a request asks for it.
     void onEnd(const AcceptedRunEnd &end, Milliseconds now);
     /// Discards ends that no request has asked for in time, because their holder is lost.
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -573,6 +573,27 @@
     CHECK(stops.front() == RemoteStop{"third", {second, {key}}});
 }
 
+TEST_CASE("an accepted run is known until its end was taken", "[scheduler]")
+{
+    // Guards against completed jobs that are answered as unknown: the other holder asked for the
+    // end of a run between that end and its delivery to those who wait for it.
+    FleetSimulation world(4, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(20);
+    JobStep step = makeJob("job", "quick", 1, 60).steps.front();
+    const AcceptedRunKey key{"other", 3, {"job.0.0.0", 1}};
+    const RunOffer offer{{"job", 3}, "quick", "payload", 0, step, {{key.run, {}}}, false};
+    REQUIRE(holder.startOffered(offer, "other", Milliseconds{world.now}).started.size() == 1);
+    CHECK(holder.hasAccepted(key));
+    CHECK_FALSE(holder.hasAccepted({"other", 4, key.run}));
+    const auto order = holder.takeStarts().front();
+    holder.onStartReply(order, {OrderResult::NoRoom, std::nullopt, 0}, Milliseconds{world.now});
+    CHECK(holder.acceptedRunCount() == 0);
+    CHECK(holder.hasAccepted(key));
+    CHECK(holder.takeAcceptedEnds().size() == 1);
+    CHECK_FALSE(holder.hasAccepted(key));
+}
+
 TEST_CASE("a holder accepts no runs of a job that it has itself", "[scheduler]")
 {
     // Guards against two holders that run the same job after it was submitted to both.
