Take the lease of a run as unknown only until a list has shown it

The longest lease was assumed again with each list of a run that had been ordered before the incarnation became known. That was on the safe side, and delayed the end of such runs on an unreachable instance by up to 0.1 s.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -385,7 +385,9 @@
             run.phase = Phase::Running;
         run.unansweredAt.reset();
         // The lease that it was ordered under was not computed for the clock of this incarnation.
-        if (m_clockMs && m_incarnationKnownAt && run.startedAt <= *m_incarnationKnownAt)
+        const bool isLeaseUnknown =
+            !run.wasListed && m_incarnationKnownAt && run.startedAt <= *m_incarnationKnownAt;
+        if (isLeaseUnknown && m_clockMs)
             m_leaseUntilMs = std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
         run.wasListed = true;
         run.listedAt = now;
