Say once when a job has no caller left, and look up a submission once

Found on a second reading: the same all_of over callers stood in four places of FleetEntry, failTransfer decided twice on the same error, and onRemoteEnds checked a submission by its number and then its job by id. Behaviour is meant to be the same.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -287,15 +287,14 @@
 {
     const auto it = m_pendingJobs.find(job.id);
     const bool isLocal = it != m_pendingJobs.end() && it->second.scheduled == job;
-    return m_scheduler.isWanted(job, m_clock.now())
-        && !(isLocal && std::ranges::all_of(it->second.callers, &Caller::isGone));
+    return m_scheduler.isWanted(job, m_clock.now()) && !(isLocal && it->second.isAbandoned());
 }
 
 void FleetEntry::route(const JobKey &key)
 {
     auto &pending = m_pendingJobs.at(key.id);
     // A caller that has disconnected may have resent its job, which must not run twice.
-    if (std::ranges::all_of(pending.callers, &Caller::isGone)) {
+    if (pending.isAbandoned()) {
         abandon(key.id);
         return;
     }
@@ -407,7 +406,7 @@
 void FleetEntry::onDisconnect(const std::string &jobId)
 {
     const auto it = m_pendingJobs.find(jobId);
-    if (it != m_pendingJobs.end() && std::ranges::all_of(it->second.callers, &Caller::isGone))
+    if (it != m_pendingJobs.end() && it->second.isAbandoned())
         abandon(jobId);
 }
 
@@ -415,7 +414,7 @@
 {
     std::vector<std::string> unwanted;
     for (const auto &[id, pending] : m_pendingJobs) {
-        if (std::ranges::all_of(pending.callers, &Caller::isGone))
+        if (pending.isAbandoned())
             unwanted.push_back(id);
     }
     for (const auto &id : unwanted)
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -12,6 +12,7 @@
 #include "RunScheduler.h"
 #include "RunWaiters.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,6 +113,12 @@
         std::uint64_t submission = 0;
         JobKey scheduled; ///< Of the own scheduler, if it has the job.
         Milliseconds arrivedAt; ///< When the caller's request arrived.
+
+        /// Whether no caller waits any longer.
+        [[nodiscard]] bool isAbandoned() const
+        {
+            return std::ranges::all_of(callers, &Caller::isGone);
+        }
     };
 
     /// A caller that waits for the first configuration.
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -334,8 +334,7 @@
 
     void failTransfer(ErrorCodeAsio ec)
     {
-        if (ec != Beast::error::timeout)
-            closeNow(true);
+        closeNow(ec != Beast::error::timeout);
         if (ec == Beast::error::timeout)
             fail(ErrorCode::Timeout, "response timed out", m_bytesWritten);
         else if (ec == Http::error::body_limit)
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -109,10 +109,9 @@
                                 Milliseconds now)
 {
     for (const auto &outcome : ends) {
-        if (!hasJob(key))
-            return;
         const auto ref = findTask(outcome.key);
-        if (ref && ref->job->job.id == key.id && !ref->task->holder.empty())
+        // Each end may be the last of the job, so the submission is looked up again.
+        if (ref && ref->job == find(key) && !ref->task->holder.empty())
             onTaskEnd(*ref, outcome, now);
     }
 }
