--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -42,6 +42,10 @@
         return LogEvent::JobJoined;
     case ScheduleEvent::Kind::Stalled:
         return LogEvent::Stalled;
+    case ScheduleEvent::Kind::UnknownRun:
+        return LogEvent::RunUnknown;
+    case ScheduleEvent::Kind::InstanceRestarted:
+        return LogEvent::InstanceRestarted;
     }
     return LogEvent::RunEnded;
 }
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -47,10 +47,12 @@
     // Runs that the earlier incarnation has listed ended with it. The others may have been started
     // by the later one, because replies to starts need not name the incarnation; its lists will
     // show them.
+    std::size_t endedRuns = 0;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         auto &run = it->second;
         if (run.wasListed) {
+            ++endedRuns;
             finish(it, RunEnd::LeaseExpired, now);
         } else {
             // A stop that the earlier incarnation has acknowledged does not bind the later one.
@@ -60,6 +62,7 @@
         }
         it = next;
     }
+    m_notices.push_back({InstanceNotice::Kind::Restarted, {}, endedRuns});
     m_report.key.startTimeMs = startTimeMs;
     m_isReportOutdated = true;
     m_processedThrough = m_ackedThrough = m_ackInFlight = 0;
@@ -374,6 +377,7 @@
             run.isForeign = true;
             run.startedAt = run.expectedEnd = run.nextStopAt = now;
             ++m_foreignRuns;
+            m_notices.push_back({InstanceNotice::Kind::UnknownRun, row.key, 0});
             it = m_runs.emplace(row.key, run).first;
             // The lease that this run was started under is unknown; a lease of this holder bounds
             // it from now on.
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -48,6 +48,22 @@
     auto operator<=>(const RunResult &) const = default;
 };
 
+/// Something that a report, reply or list has shown beside the runs of this holder, for the log.
+struct InstanceNotice
+{
+    enum class Kind : std::uint8_t {
+        Restarted, ///< A later incarnation is known.
+        UnknownRun, ///< A list shows a run that this holder has not started, or has given up.
+    };
+
+    Kind kind = Kind::Restarted;
+    RunKey run; ///< Of UnknownRun.
+    /// Of Restarted: number of runs that have ended with the former incarnation.
+    std::size_t endedRuns = 0;
+
+    auto operator<=>(const InstanceNotice &) const = default;
+};
+
 /// State of one leased instance. Performs no I/O: next...() methods return the orders to send,
 /// on...() methods process the replies, and takeResults() returns the runs that have certainly
 /// ended.
@@ -109,6 +125,7 @@
 
     /// Runs that have ended since the last call.
     [[nodiscard]] std::vector<RunResult> takeResults() { return std::exchange(m_results, {}); }
+    [[nodiscard]] std::vector<InstanceNotice> takeNotices() { return std::exchange(m_notices, {}); }
     /// Runs that took more than twice their expected time and were listed without progress for the
     /// given time.
     [[nodiscard]] std::vector<RunKey> stalledRuns(Milliseconds stallTimeout) const;
@@ -169,6 +186,7 @@
     ResourceVector m_used;
     std::size_t m_foreignRuns = 0;
     std::vector<RunResult> m_results;
+    std::vector<InstanceNotice> m_notices;
 
     bool m_isSynced = false;
     bool m_isFenced = false;
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -107,6 +107,10 @@
                  "The known instances could not be read from disk or written to it."},
     LogEventSpec{LogEvent::InstanceLeft, "instance-left", "instance revision",
                  "An instance announced that it has left."},
+    LogEventSpec{LogEvent::InstanceRestarted, "instance-restarted",
+                 "request task run instance reason value",
+                 "A later incarnation of an instance is known; value is the number of runs that "
+                 "ended with the former one."},
     LogEventSpec{LogEvent::InstancesRestored, "instances-restored", "count",
                  "A control instance restored the last known instances from disk at startup."},
     LogEventSpec{LogEvent::InstancesSilent, "instances-silent", "revision",
@@ -229,6 +233,9 @@
                  "The instance reported that a run ended, or refused to start it."},
     LogEventSpec{LogEvent::RunStarted, "run-started", "request task run instance reason value",
                  "A run of a task was ordered from an instance; reason says why this one."},
+    LogEventSpec{LogEvent::RunUnknown, "run-unknown", "request task run instance reason value",
+                 "An instance lists a run of another holder, or one that was given up here; it is "
+                 "stopped."},
     LogEventSpec{LogEvent::Serving, "serving", "first targets",
                  "Stand-in targets have started to serve."},
     LogEventSpec{LogEvent::SettingsRefused, "settings-refused", "reason",
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -26,6 +26,14 @@
     return report.service == service && report.state != InstanceState::Gone;
 }
 
+ScheduleEvent eventOf(const InstanceNotice &notice, const std::string &instance)
+{
+    if (notice.kind == InstanceNotice::Kind::UnknownRun)
+        return {ScheduleEvent::Kind::UnknownRun, {}, notice.run, instance, "listed"};
+    return {ScheduleEvent::Kind::InstanceRestarted, {}, {}, instance, "later-incarnation",
+            static_cast<double>(notice.endedRuns)};
+}
+
 } // namespace
 
 // --- Configuration and instances
@@ -342,6 +350,8 @@
 {
     for (const auto &result : instance.takeResults())
         onRunResult(instance, result, now);
+    for (const auto &notice : instance.takeNotices())
+        addEvent(eventOf(notice, instance.report().key.id));
 }
 
 std::optional<RunScheduler::TaskRef> RunScheduler::findTask(const RunKey &key)
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -62,7 +62,16 @@
 /// A scheduling decision or the end of a run, for the log.
 struct ScheduleEvent
 {
-    enum class Kind : std::uint8_t { Started, Ended, TaskFailed, Refused, Joined, Stalled };
+    enum class Kind : std::uint8_t {
+        Started,
+        Ended,
+        TaskFailed,
+        Refused,
+        Joined,
+        Stalled,
+        UnknownRun, ///< An instance lists a run that is not one of this holder's.
+        InstanceRestarted,
+    };
 
     Kind kind = Kind::Started;
     std::string jobId;
