Fence off the orders that were meant for earlier incarnations of an instance

Cause: a start without a reply is kept from being carried out late by a stop, by its deadline on the instance's clock and by the fencing token. An instance that restarts under its id forgets all three, and its holder went on with the same token, so the later incarnation carried the start out beside the run elsewhere.

Change: the token in an order also counts the holder's sessions with the instance. A new session begins with every sign of a restart, and its first order reads the lists, so earlier orders are refused from then on. A reply that says 'fenced' because of the holder's own later order counts as a refusal; before, the holder gave up the instance.

--- a/src/InstanceOrders.h
+++ b/src/InstanceOrders.h
@@ -3,6 +3,7 @@
 
 #include "FleetTypes.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -18,8 +19,20 @@
     InstanceKey instance;
     std::string address;
     std::uint64_t token = 0; ///< Fencing token of the cell's holder.
+    /// Increases whenever the instance may have restarted, so that it refuses the orders that were
+    /// meant for its earlier incarnations and arrive late.
+    std::uint64_t session = 0;
 
     auto operator<=>(const OrderTarget &) const = default;
+
+    /// The token that the instance compares. It increases with each holder, and with each session
+    /// of one holder.
+    [[nodiscard]] std::uint64_t fencingToken() const
+    {
+        constexpr unsigned SessionBits = 20;
+        constexpr std::uint64_t MaxSession = (1U << SessionBits) - 1;
+        return (token << SessionBits) + std::min(session, MaxSession);
+    }
 };
 
 /// Starts a run, unless the instance's clock has passed the deadline.
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 LeasedInstance::LeasedInstance(InstanceReport report, std::uint64_t token,
-                               const LeaseSettings &settings)
+                               const LeaseSettings &settings, std::uint64_t session)
     : m_settings(settings)
     , m_report(std::move(report))
     , m_token(token)
+    , m_session(session)
     // Replies to an earlier session of the same id must not match.
     , m_holdSerial(m_report.key.startTimeMs * SerialsPerIncarnation)
 {
@@ -63,6 +64,7 @@
         it = next;
     }
     m_notices.push_back({InstanceNotice::Kind::Restarted, {}, endedRuns});
+    ++m_session;
     m_report.key.startTimeMs = startTimeMs;
     m_isReportOutdated = true;
     m_processedThrough = m_ackedThrough = m_ackInFlight = 0;
@@ -144,6 +146,12 @@
     m_isHoldInFlight = false;
 }
 
+void LeasedInstance::onDisconnect()
+{
+    invalidate();
+    ++m_session;
+}
+
 void LeasedInstance::endAll(Milliseconds now)
 {
     while (!m_runs.empty())
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -70,7 +70,9 @@
 class LeasedInstance
 {
 public:
-    LeasedInstance(InstanceReport report, std::uint64_t token, const LeaseSettings &settings);
+    /// @param session must be higher than in all orders of this holder to earlier incarnations.
+    LeasedInstance(InstanceReport report, std::uint64_t token, const LeaseSettings &settings,
+                   std::uint64_t session = 0);
 
     /// Processes a newer report. After one of a later incarnation, its lists show which runs have
     /// ended with the earlier one.
@@ -78,6 +80,12 @@
 
     [[nodiscard]] const InstanceReport &report() const { return m_report; }
     [[nodiscard]] std::uint64_t token() const { return m_token; }
+    [[nodiscard]] std::uint64_t session() const { return m_session; }
+    /// Whether an order was given before the latest change of the token or the session.
+    [[nodiscard]] bool isSuperseded(const OrderTarget &order) const
+    {
+        return order.fencingToken() < target().fencingToken();
+    }
     /// Whether new runs may be started here now.
     [[nodiscard]] bool isUsable(Milliseconds now) const;
     /// Its lists were read under this holder's token, and no run unknown to it remains.
@@ -115,7 +123,7 @@
     /// This process was paused for so long that its view is outdated: the lists are read again.
     void invalidate();
     /// The connections to the instance have ended, so another incarnation may reply from now on.
-    void onDisconnect() { invalidate(); }
+    void onDisconnect();
     /// The instance is gone: ends all its runs.
     void endAll(Milliseconds now);
     /// Another holder has taken over: ends all runs without a known result and orders nothing more.
@@ -163,7 +171,10 @@
         Milliseconds listedAt; ///< When it was last listed.
     };
 
-    [[nodiscard]] OrderTarget target() const { return {m_report.key, m_report.address, m_token}; }
+    [[nodiscard]] OrderTarget target() const
+    {
+        return {m_report.key, m_report.address, m_token, m_session};
+    }
     [[nodiscard]] double clockAt(Milliseconds now) const;
     [[nodiscard]] std::uint64_t extendLease(Milliseconds now);
     void updateClock(const std::optional<double> &clockMs, Milliseconds now);
@@ -182,6 +193,7 @@
     LeaseSettings m_settings;
     InstanceReport m_report;
     std::uint64_t m_token;
+    std::uint64_t m_session;
     std::map<RunKey, Run> m_runs;
     ResourceVector m_used;
     std::size_t m_foreignRuns = 0;
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -26,6 +26,16 @@
     return report.service == service && report.state != InstanceState::Gone;
 }
 
+/// An order that a later order of this holder has fenced off was refused, but no other holder has
+/// taken over.
+template <typename Reply>
+Reply withoutOwnFence(const OrderTarget &target, Reply reply, const LeasedInstance &instance)
+{
+    if (reply.result == OrderResult::Fenced && instance.isSuperseded(target))
+        reply.result = OrderResult::Outdated;
+    return reply;
+}
+
 ScheduleEvent eventOf(const InstanceNotice &notice, const std::string &instance)
 {
     if (notice.kind == InstanceNotice::Kind::UnknownRun)
@@ -64,7 +74,8 @@
             present->second.raiseToken(token->second);
             collectResults(present->second, now);
         } else if (report.state != InstanceState::Gone) {
-            m_instances.emplace(id, LeasedInstance(report, token->second, m_settings.lease));
+            m_instances.emplace(
+                id, LeasedInstance(report, token->second, m_settings.lease, ++m_lastSession));
         }
     }
     std::vector<std::string> lost;
@@ -75,10 +86,16 @@
     for (const auto &id : lost) {
         m_instances.at(id).fence();
         collectResults(m_instances.at(id), now);
-        m_instances.erase(id);
+        eraseInstance(id);
     }
 }
 
+void RunScheduler::eraseInstance(const std::string &id)
+{
+    const auto node = m_instances.extract(id);
+    m_lastSession = std::max(m_lastSession, node.mapped().session());
+}
+
 LeasedInstance *RunScheduler::find(const InstanceKey &key)
 {
     const auto it = m_instances.find(key.id);
@@ -108,7 +125,7 @@
     auto &instance = m_instances.at(id);
     instance.endAll(now);
     collectResults(instance, now);
-    m_instances.erase(id);
+    eraseInstance(id);
     m_health.remove(id);
 }
 
@@ -313,11 +330,13 @@
     }
 }
 
-void RunScheduler::onStartReply(const StartOrder &order, const OrderReply &reply, Milliseconds now)
+void RunScheduler::onStartReply(const StartOrder &order, const OrderReply &received,
+                                Milliseconds now)
 {
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
+    const auto reply = withoutOwnFence(order.target, received, *instance);
     if (reply.result != OrderResult::Accepted)
         addEvent({ScheduleEvent::Kind::Ended,
                   {},
@@ -333,7 +352,7 @@
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
-    instance->onStopReply(order.key, reply, now);
+    instance->onStopReply(order.key, withoutOwnFence(order.target, reply, *instance), now);
     collectResults(*instance, now);
 }
 
@@ -342,7 +361,7 @@
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
-    instance->onHoldReply(order.serial, reply, now);
+    instance->onHoldReply(order.serial, withoutOwnFence(order.target, reply, *instance), now);
     collectResults(*instance, now);
 }
 
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -285,6 +285,7 @@
     void finish(const std::string &jobId, JobOutcome outcome, Milliseconds now);
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
+    void eraseInstance(const std::string &id);
     [[nodiscard]] LeasedInstance *find(const InstanceKey &key);
     /// The job of this submission, or null if it has ended.
     [[nodiscard]] Job *find(const JobKey &key);
@@ -296,6 +297,7 @@
     /// All instances, including those of other holders.
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, LeasedInstance> m_instances; ///< Held instances, by id.
+    std::uint64_t m_lastSession = 0; ///< Of an instance that was added or removed.
     InstanceHealth m_health;
     RunTimeModel m_runTimes;
 
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -83,9 +83,9 @@
                      bool fails, double now)
     {
         advance(now);
-        if (order.target.token < m_token)
+        if (order.target.fencingToken() < m_token)
             return reply(OrderResult::Fenced, now);
-        m_token = order.target.token;
+        m_token = order.target.fencingToken();
         const auto it = m_rejected.find(order.key.task);
         if (it != m_rejected.end() && order.key.run <= it->second)
             return reply(OrderResult::Outdated, now);
@@ -104,9 +104,9 @@
     OrderReply stop(const StopOrder &order, double now)
     {
         advance(now);
-        if (order.target.token < m_token)
+        if (order.target.fencingToken() < m_token)
             return reply(OrderResult::Fenced, now);
-        m_token = order.target.token;
+        m_token = order.target.fencingToken();
         auto &rejected = m_rejected[order.key.task];
         rejected = std::max(rejected, order.key.run);
         for (std::size_t n = 0; n < m_running.size(); ++n) {
@@ -124,10 +124,11 @@
         HoldReply result;
         result.clockMs = clock(now);
         result.startTimeMs = m_report.key.startTimeMs;
-        result.result = order.target.token < m_token ? OrderResult::Fenced : OrderResult::Accepted;
+        result.result =
+            order.target.fencingToken() < m_token ? OrderResult::Fenced : OrderResult::Accepted;
         if (result.result == OrderResult::Fenced)
             return result;
-        m_token = order.target.token;
+        m_token = order.target.fencingToken();
         if (order.leaseUntilMs)
             extend(static_cast<double>(*order.leaseUntilMs), now);
         std::erase_if(m_ended, [&](const EndedRun &it) { return it.number <= order.ackedThrough; });
--- /dev/null
+++ b/test/correctness/OrderFencingTest.cpp
@@ -0,0 +1,146 @@
+/// @file Which orders an instance must refuse because they were meant for an earlier incarnation.
+#include "RunScheduler.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Camphor;
+
+namespace {
+
+constexpr std::uint64_t Token = 7;
+
+InstanceReport makeReport(std::uint64_t startTimeMs)
+{
+    InstanceReport report;
+    report.key = {"worker-1", startTimeMs};
+    report.sequence = 1;
+    report.service = "service";
+    report.address = "127.0.0.1:1";
+    report.domain = "north";
+    report.capacity = {32'000, 1'000, 0};
+    return report;
+}
+
+FleetConfiguration makeConfiguration()
+{
+    QueueRule rule;
+    rule.name = "queue";
+    rule.service = "service";
+    rule.targetMs = 1'000;
+    rule.maxAttempts = 3;
+    return {1, {rule}};
+}
+
+FleetJob makeJob()
+{
+    JobStep step;
+    step.demand = {14'000, 64, 0};
+    step.estimatedMs = 900;
+    return {"job", "queue", "payload", {step}};
+}
+
+/// A holder of one instance that has no other runs. Each hold is replied to at once.
+class OneInstance
+{
+public:
+    OneInstance()
+    {
+        scheduler.configure(std::make_shared<const FleetConfiguration>(makeConfiguration()));
+        report(1'000);
+    }
+
+    void report(std::uint64_t startTimeMs, InstanceState state = InstanceState::Ready)
+    {
+        auto report = makeReport(startTimeMs);
+        report.state = state;
+        m_startTimeMs = startTimeMs;
+        scheduler.setInstances({{"worker-1", report}}, {{"worker-1", Token}}, now);
+    }
+
+    /// Lets the scheduler act for some time, and returns the token of the last hold.
+    std::uint64_t run(double ms, std::vector<RunningRun> running = {})
+    {
+        std::uint64_t fencingToken = 0;
+        for (const auto until = now + Milliseconds{ms}; now < until; now += Milliseconds{1}) {
+            scheduler.advance(now);
+            for (const auto &order : scheduler.takeHolds()) {
+                fencingToken = order.target.fencingToken();
+                const HoldReply reply{
+                    OrderResult::Accepted, 50'000 + now.count(), m_startTimeMs, running, {}};
+                scheduler.onHoldReply(order, reply, now);
+            }
+        }
+        return fencingToken;
+    }
+
+    RunScheduler scheduler{{}};
+    Milliseconds now{0};
+
+private:
+    std::uint64_t m_startTimeMs = 0;
+};
+
+} // namespace
+
+TEST_CASE("a restarted instance refuses the late orders of its earlier incarnation",
+          "[leased][fencing]")
+{
+    // Guards against a start that had no reply and is carried out by a later incarnation, while the
+    // task runs elsewhere: neither a stop nor a deadline binds the later one.
+    const std::string_view sign = GENERATE("report", "list", "disconnection", "left and returned");
+    CAPTURE(sign);
+    OneInstance world;
+    world.run(10);
+    (void)world.scheduler.submit(makeJob(), {}, world.now);
+    world.scheduler.advance(world.now);
+    const auto starts = world.scheduler.takeStarts();
+    REQUIRE(starts.size() == 1);
+    world.scheduler.onStartReply(starts.front(), {}, world.now);
+    world.scheduler.cancel("job", {}, world.now);
+    if (sign == "report")
+        world.report(2'000);
+    if (sign == "disconnection")
+        world.scheduler.onDisconnect("127.0.0.1:1");
+    if (sign == "left and returned") {
+        world.report(1'000, InstanceState::Gone);
+        world.run(3'000);
+        REQUIRE(world.scheduler.usableInstances(world.now) == 0);
+        world.report(2'000);
+    }
+    if (sign == "list") {
+        world.scheduler.advance(world.now);
+        for (const auto &order : world.scheduler.takeHolds())
+            world.scheduler.onHoldReply(order, {OrderResult::Accepted, 100, 2'000, {}, {}},
+                                        world.now);
+    }
+    CHECK(world.run(50) > starts.front().target.fencingToken());
+}
+
+TEST_CASE("an order that its own holder has fenced off is not taken for another holder's",
+          "[leased][fencing]")
+{
+    // Guards against a holder that gives up an instance, and answers its jobs as unknown, because
+    // one of its orders was overtaken by a later one.
+    OneInstance world;
+    world.run(10);
+    (void)world.scheduler.submit(makeJob(), {}, world.now);
+    world.scheduler.advance(world.now);
+    const auto starts = world.scheduler.takeStarts();
+    REQUIRE(starts.size() == 1);
+    world.scheduler.onDisconnect("127.0.0.1:1");
+    world.run(5);
+    world.scheduler.onStartReply(starts.front(), {OrderResult::Fenced, 50'020, 0}, world.now);
+    world.run(5);
+    CHECK(world.scheduler.usableInstances(world.now) == 1);
+    CHECK(world.scheduler.takeResults().empty());
+    const auto again = world.scheduler.takeStarts();
+    REQUIRE(again.size() == 1);
+    CHECK(again.front().key.run > starts.front().key.run);
+}
+
+TEST_CASE("the orders of a later holder outrank every session of an earlier one", "[fencing]")
+{
+    OrderTarget earlier{{"worker-1", 1'000}, "127.0.0.1:1", 7, 1'000'000'000};
+    OrderTarget later{{"worker-1", 1'000}, "127.0.0.1:1", 8, 0};
+    CHECK(earlier.fencingToken() < later.fencingToken());
+}
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -343,6 +343,37 @@
     CHECK(completed > serial / 2);
 }
 
+TEST_CASE("no task runs twice when restarted instances carry out orders late",
+          "[scheduler][generated]")
+{
+    // Guards against a start order for a former process that the restarted one carries out after
+    // the task was started elsewhere.
+    const auto seed = GENERATE(range(1, 41));
+    CAPTURE(seed);
+    FleetFaults faults;
+    faults.slowClock = 0.02;
+    faults.delayedOrders = 0.05;
+    FleetSimulation world(9, faults, static_cast<std::uint64_t>(seed));
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    world.runTime = [](const std::string &task) {
+        return 100.0 + static_cast<double>(std::hash<std::string>{}(task) % 2'500);
+    };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    int serial = 0;
+    while (world.now < 15'000) {
+        if (random() % 150 == 0)
+            holder.submit(makeJob("job" + std::to_string(++serial), "long",
+                                  1 + static_cast<std::uint32_t>(random() % 4), 900),
+                          {}, Milliseconds{world.now});
+        if (random() % 400 == 0)
+            world.restartInstance("worker-" + std::to_string(random() % 9));
+        world.run(world.now + 1);
+    }
+    world.run(40'000);
+    CHECK(world.doubleRuns == 0);
+    CHECK(holder.jobCount() == 0);
+}
+
 TEST_CASE("a paused holder and its successor never run a task twice", "[scheduler][generated]")
 {
     const auto seed = GENERATE(range(1, 9));
