Count under which tasks instances were lost

A task that crashes its instances cannot be told from the tasks beside it by one loss. CrashHistory counts the losses of each task, and whether it ran alone; two losses, one of them alone, or three put a task at fault.

--- /dev/null
+++ b/src/CrashHistory.cpp
@@ -0,0 +1,65 @@
+#include "CrashHistory.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Camphor {
+
+bool CrashHistory::add(const InstanceLoss &loss, Milliseconds now)
+{
+    if (loss.tasks.empty() || !m_instances.insert(loss.instance).second)
+        return false;
+    m_losses.push_back({loss, now, ++m_revision});
+    for (const auto &task : loss.tasks) {
+        auto &record = m_tasks[task];
+        ++record.losses;
+        record.lossesAlone += loss.tasks.size() == 1 ? 1 : 0;
+    }
+    evict(now);
+    return true;
+}
+
+void CrashHistory::evict(Milliseconds now)
+{
+    while (!m_losses.empty()
+           && (m_losses.size() > m_settings.maxLosses
+               || now - m_losses.front().addedAt > m_settings.retention))
+        removeOldest();
+}
+
+void CrashHistory::removeOldest()
+{
+    const auto loss = std::move(m_losses.front().loss);
+    m_losses.pop_front();
+    m_instances.erase(loss.instance);
+    for (const auto &task : loss.tasks) {
+        const auto it = m_tasks.find(task);
+        it->second.lossesAlone -= loss.tasks.size() == 1 ? 1 : 0;
+        if (--it->second.losses == 0)
+            m_tasks.erase(it);
+    }
+}
+
+TaskSuspicion CrashHistory::suspicion(const std::string &task) const
+{
+    constexpr std::size_t LossesOfAnyTask = 3;
+    const auto it = m_tasks.find(task);
+    if (it == m_tasks.end())
+        return TaskSuspicion::None;
+    const auto &record = it->second;
+    if (record.losses == 1)
+        return TaskSuspicion::Suspect;
+    const bool isAtFault = record.lossesAlone > 0 || record.losses >= LossesOfAnyTask;
+    return isAtFault ? TaskSuspicion::AtFault : TaskSuspicion::StrongSuspect;
+}
+
+std::vector<InstanceLoss> CrashHistory::addedSince(std::uint64_t revision) const
+{
+    const auto first = std::ranges::upper_bound(m_losses, revision, {}, &Entry::revision);
+    std::vector<InstanceLoss> losses;
+    std::transform(first, m_losses.end(), std::back_inserter(losses),
+                   [](const Entry &it) { return it.loss; });
+    return losses;
+}
+
+} // namespace Camphor
--- /dev/null
+++ b/src/CrashHistory.h
@@ -0,0 +1,99 @@
+/// @file Which tasks were running on instances that were lost, to tell a task that crashes its
+/// instances from the tasks beside it.
+#pragma once
+
+#include "FleetTypes.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Camphor {
+
+/// An incarnation of an instance was lost while it may have been running tasks: it has crashed, or
+/// could not be reached until its leases had expired.
+struct InstanceLoss
+{
+    InstanceKey instance;
+    std::vector<std::string> tasks; ///< Names of the tasks, sorted.
+
+    auto operator<=>(const InstanceLoss &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, tasks);
+    }
+};
+
+/// What the losses say of a task.
+enum class TaskSuspicion : std::uint8_t {
+    None,
+    Suspect, ///< One instance was lost under it.
+    /// Two were lost, each while it ran other tasks too.
+    StrongSuspect,
+    /// Two were lost, one of them while it ran nothing else, or three.
+    AtFault,
+};
+
+struct CrashHistorySettings
+{
+    /// A loss is remembered for longer than callers resend a job.
+    Milliseconds retention{120'000};
+    std::size_t maxLosses = 2'000;
+
+    auto operator<=>(const CrashHistorySettings &) const = default;
+};
+
+/// The losses that a process has seen or heard of. Processes exchange them, so that a task keeps
+/// its history when its holder is lost or its caller resends the job. Performs no I/O.
+class CrashHistory
+{
+public:
+    explicit CrashHistory(const CrashHistorySettings &settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    /// Adds a loss. @return whether it was not known yet.
+    bool add(const InstanceLoss &loss, Milliseconds now);
+    void evict(Milliseconds now);
+
+    [[nodiscard]] TaskSuspicion suspicion(const std::string &task) const;
+    /// Increases with each added loss.
+    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+    /// The remembered losses that were added after a revision, oldest first.
+    [[nodiscard]] std::vector<InstanceLoss> addedSince(std::uint64_t revision) const;
+    [[nodiscard]] std::size_t size() const { return m_losses.size(); }
+
+private:
+    struct Entry
+    {
+        InstanceLoss loss;
+        Milliseconds addedAt;
+        std::uint64_t revision = 0;
+    };
+
+    struct TaskRecord
+    {
+        std::size_t losses = 0;
+        std::size_t lossesAlone = 0; ///< Of these, while nothing else ran on the instance.
+    };
+
+    void removeOldest();
+
+    CrashHistorySettings m_settings;
+    std::uint64_t m_revision = 0;
+    std::deque<Entry> m_losses; ///< By revision.
+    std::set<InstanceKey> m_instances; ///< Of m_losses.
+    std::map<std::string, TaskRecord> m_tasks; ///< Of m_losses, by task name.
+};
+
+} // namespace Camphor
