Give up tasks under which instance after instance was lost

Cause: no module counted the crashes under a task. A run that is lost with its instance looked like one whose lease was lost by a cut.

Change: the scheduler records each loss of an instance with the tasks that it may have been running (CrashHistory). A task under which one was lost runs alone if it can, and nothing starts beside it; after two losses, one of them alone, or three, its job has failed, which is final for its caller. A task that only ran beside is shown harmless by its run alone, and is never given up after one loss.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -5,6 +5,21 @@
 
 namespace Camphor {
 
+const char *taskSuspicionName(TaskSuspicion suspicion)
+{
+    switch (suspicion) {
+    case TaskSuspicion::None:
+        return "none";
+    case TaskSuspicion::Suspect:
+        return "suspect";
+    case TaskSuspicion::StrongSuspect:
+        return "strong-suspect";
+    case TaskSuspicion::AtFault:
+        return "at-fault";
+    }
+    return "none";
+}
+
 bool CrashHistory::add(const InstanceLoss &loss, Milliseconds now)
 {
     if (loss.tasks.empty() || !m_instances.insert(loss.instance).second)
@@ -40,19 +55,30 @@
     }
 }
 
-TaskSuspicion CrashHistory::suspicion(const std::string &task) const
+TaskSuspicion CrashHistory::suspicionOf(const TaskRecord &record)
 {
     constexpr std::size_t LossesOfAnyTask = 3;
-    const auto it = m_tasks.find(task);
-    if (it == m_tasks.end())
-        return TaskSuspicion::None;
-    const auto &record = it->second;
     if (record.losses == 1)
         return TaskSuspicion::Suspect;
     const bool isAtFault = record.lossesAlone > 0 || record.losses >= LossesOfAnyTask;
     return isAtFault ? TaskSuspicion::AtFault : TaskSuspicion::StrongSuspect;
 }
 
+TaskSuspicion CrashHistory::suspicion(const std::string &task) const
+{
+    const auto it = m_tasks.find(task);
+    return it == m_tasks.end() ? TaskSuspicion::None : suspicionOf(it->second);
+}
+
+TaskSuspicion CrashHistory::highestSuspicion(const std::string &prefix) const
+{
+    auto highest = TaskSuspicion::None;
+    for (auto it = m_tasks.lower_bound(prefix);
+         it != m_tasks.end() && it->first.starts_with(prefix); ++it)
+        highest = std::max(highest, suspicionOf(it->second));
+    return highest;
+}
+
 std::vector<InstanceLoss> CrashHistory::addedSince(std::uint64_t revision) const
 {
     const auto first = std::ranges::upper_bound(m_losses, revision, {}, &Entry::revision);
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -43,6 +43,8 @@
     AtFault,
 };
 
+[[nodiscard]] const char *taskSuspicionName(TaskSuspicion suspicion);
+
 struct CrashHistorySettings
 {
     /// A loss is remembered for longer than callers resend a job.
@@ -67,6 +69,8 @@
     void evict(Milliseconds now);
 
     [[nodiscard]] TaskSuspicion suspicion(const std::string &task) const;
+    /// The highest suspicion of all tasks whose names begin with a prefix.
+    [[nodiscard]] TaskSuspicion highestSuspicion(const std::string &prefix) const;
     /// Increases with each added loss.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     /// The remembered losses that were added after a revision, oldest first.
@@ -87,6 +91,7 @@
         std::size_t lossesAlone = 0; ///< Of these, while nothing else ran on the instance.
     };
 
+    [[nodiscard]] static TaskSuspicion suspicionOf(const TaskRecord &record);
     void removeOldest();
 
     CrashHistorySettings m_settings;
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -46,6 +46,8 @@
         return LogEvent::RunUnknown;
     case ScheduleEvent::Kind::InstanceRestarted:
         return LogEvent::InstanceRestarted;
+    case ScheduleEvent::Kind::InstanceLost:
+        return LogEvent::InstanceLost;
     }
     return LogEvent::RunEnded;
 }
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -48,6 +48,7 @@
     // Runs that the earlier incarnation has listed ended with it. The others may have been started
     // by the later one, because replies to starts need not name the incarnation; its lists will
     // show them.
+    recordLoss();
     std::size_t endedRuns = 0;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
@@ -93,6 +94,11 @@
     return it != m_runs.end() && it->first.task == task;
 }
 
+bool LeasedInstance::hasExclusiveRun() const
+{
+    return std::ranges::any_of(m_runs, [](const auto &it) { return it.second.isExclusive; });
+}
+
 // --- Clock and lease
 
 double LeasedInstance::clockAt(Milliseconds now) const
@@ -152,8 +158,18 @@
     ++m_session;
 }
 
+void LeasedInstance::recordLoss()
+{
+    std::set<std::string> tasks;
+    for (const auto &[key, run] : m_runs)
+        tasks.insert(key.task);
+    if (!tasks.empty())
+        m_losses.push_back({m_report.key, {tasks.begin(), tasks.end()}});
+}
+
 void LeasedInstance::endAll(Milliseconds now)
 {
+    recordLoss();
     while (!m_runs.empty())
         finish(m_runs.begin(), RunEnd::LeaseExpired, now);
 }
@@ -169,11 +185,12 @@
 
 StartOrder LeasedInstance::start(RunKey key, const std::string &payload,
                                  const ResourceVector &demand, Milliseconds expected,
-                                 Milliseconds now)
+                                 Milliseconds now, bool isExclusive)
 {
     CAMPHOR_ASSERT(isUsable(now));
     Run run;
     run.demand = demand;
+    run.isExclusive = isExclusive;
     run.startedAt = run.progressAt = run.listedAt = now;
     run.expectedEnd = now + expected;
     m_used += demand;
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -1,6 +1,7 @@
 /// @file The holder's view of one instance: its runs, their lease, and what is certain about them.
 #pragma once
 
+#include "CrashHistory.h"
 #include "InstanceOrders.h"
 #include "ReplyTimeout.h"
 
@@ -98,11 +99,14 @@
     [[nodiscard]] std::size_t runsWithPrefix(const std::string &prefix) const;
     /// Whether a run of this task is here that may not have ended.
     [[nodiscard]] bool hasRunOf(const std::string &task) const;
+    /// Whether a run is here beside which no other may start.
+    [[nodiscard]] bool hasExclusiveRun() const;
 
     /// Records a run and returns the order to send. Requires isUsable().
+    /// @param isExclusive whether hasExclusiveRun() is to be true while the run is here.
     [[nodiscard]] StartOrder start(RunKey key, const std::string &payload,
                                    const ResourceVector &demand, Milliseconds expected,
-                                   Milliseconds now);
+                                   Milliseconds now, bool isExclusive = false);
     /// Abandons a run; nextStops() then orders its stop until the run has ended.
     void abandon(const RunKey &key, Milliseconds now);
 
@@ -134,6 +138,8 @@
     /// Runs that have ended since the last call.
     [[nodiscard]] std::vector<RunResult> takeResults() { return std::exchange(m_results, {}); }
     [[nodiscard]] std::vector<InstanceNotice> takeNotices() { return std::exchange(m_notices, {}); }
+    /// Incarnations that were lost with runs since the last call.
+    [[nodiscard]] std::vector<InstanceLoss> takeLosses() { return std::exchange(m_losses, {}); }
     /// Runs that took more than twice their expected time and were listed without progress for the
     /// given time.
     [[nodiscard]] std::vector<RunKey> stalledRuns(Milliseconds stallTimeout) const;
@@ -157,6 +163,7 @@
         /// order was carried out late.
         bool isForeign = false;
         bool isStopInFlight = false;
+        bool isExclusive = false; ///< No other run may start beside it.
         /// A list has shown it, so it was started on the incarnation that is known.
         bool wasListed = false;
         /// When a reply or a list first showed that the run has started.
@@ -187,6 +194,8 @@
     /// Whether the lease of a run may end later than the known clock says.
     [[nodiscard]] bool mayOutliveLease(const Run &run, Milliseconds now) const;
     void finish(std::map<RunKey, Run>::iterator it, RunEnd end, Milliseconds now);
+    /// The known incarnation is lost, with all runs that it may have.
+    void recordLoss();
     void onEnds(const std::vector<EndedRun> &ended, Milliseconds now);
     void onRunning(const HoldReply &reply, Milliseconds now);
 
@@ -199,6 +208,7 @@
     std::size_t m_foreignRuns = 0;
     std::vector<RunResult> m_results;
     std::vector<InstanceNotice> m_notices;
+    std::vector<InstanceLoss> m_losses;
 
     bool m_isSynced = false;
     bool m_isFenced = false;
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -107,6 +107,9 @@
                  "The known instances could not be read from disk or written to it."},
     LogEventSpec{LogEvent::InstanceLeft, "instance-left", "instance revision",
                  "An instance announced that it has left."},
+    LogEventSpec{LogEvent::InstanceLost, "instance-lost", "request task run instance reason value",
+                 "An instance was lost while it may have run this task; reason is the suspicion "
+                 "against the task, value the number of tasks that it ran."},
     LogEventSpec{LogEvent::InstanceRestarted, "instance-restarted",
                  "request task run instance reason value",
                  "A later incarnation of an instance is known; value is the number of runs that "
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -55,6 +55,7 @@
     InstanceChanged,
     InstanceFileFailed,
     InstanceLeft,
+    InstanceLost,
     InstanceRestarted,
     InstancesRestored,
     InstancesSilent,
--- a/src/RunOffer.h
+++ b/src/RunOffer.h
@@ -2,6 +2,7 @@
 /// not fit into its own cell.
 #pragma once
 
+#include "CrashHistory.h"
 #include "FleetTypes.h"
 
 #include <cereal/types/string.hpp>
@@ -18,13 +19,15 @@
 {
     RunKey key;
     std::vector<std::string> avoid; ///< Instances on which it must not start.
+    /// What the offering holder knows of the task, before the other one may have heard of it.
+    TaskSuspicion suspicion = TaskSuspicion::None;
 
     auto operator<=>(const OfferedRun &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(key, avoid);
+        archive(key, avoid, suspicion);
     }
 };
 
@@ -95,13 +98,15 @@
     bool isUnknown = false;
     double elapsedMs = 0; ///< Time since its start order.
     std::string instance;
+    /// What the holder of the instance knows of the task.
+    TaskSuspicion suspicion = TaskSuspicion::None;
 
     auto operator<=>(const RunOutcome &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(key, end, isUnknown, elapsedMs, instance);
+        archive(key, end, isUnknown, elapsedMs, instance, suspicion);
     }
 };
 
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds MaxRoutineWait{25};
 /// Minimum retry delay for refused callers.
 constexpr std::uint32_t MinRetryMs = 500;
+/// Why a job has failed under whose task instances were lost.
+constexpr const char *TaskAtFaultReason = "task-crashes-instances";
 
 /// Whether an instance currently serves a service, under any holder.
 bool servesNow(const InstanceReport &report, const std::string &service)
@@ -129,6 +131,45 @@
     m_health.remove(id);
 }
 
+void RunScheduler::onLoss(const InstanceLoss &loss, Milliseconds now)
+{
+    if (!m_crashes.add(loss, now))
+        return;
+    m_newLosses.push_back(loss);
+    for (const auto &task : loss.tasks)
+        addEvent({ScheduleEvent::Kind::InstanceLost,
+                  {},
+                  {task, 0},
+                  loss.instance.id,
+                  taskSuspicionName(m_crashes.suspicion(task)),
+                  static_cast<double>(loss.tasks.size())});
+}
+
+void RunScheduler::addLosses(const std::vector<InstanceLoss> &losses, Milliseconds now)
+{
+    for (const auto &loss : losses) {
+        if (!m_crashes.add(loss, now))
+            continue;
+        for (const auto &task : loss.tasks)
+            failIfAtFault(task, now);
+    }
+}
+
+void RunScheduler::failIfAtFault(const std::string &task, Milliseconds now)
+{
+    if (m_crashes.suspicion(task) != TaskSuspicion::AtFault)
+        return;
+    const auto place = parseTaskName(task);
+    const auto it = place ? m_jobs.find(place->jobId) : m_jobs.end();
+    if (it == m_jobs.end())
+        return;
+    const auto &tasks = it->second.tasks;
+    const bool isOpen = place->step < tasks.size() && place->index < tasks[place->step].size()
+        && tasks[place->step][place->index].state != Task::State::Done;
+    if (isOpen)
+        finish(place->jobId, {JobVerdict::Failed, TaskAtFaultReason, 0}, now);
+}
+
 void RunScheduler::addEvent(ScheduleEvent event) { m_events.push_back(std::move(event)); }
 
 // --- Jobs
@@ -197,6 +238,11 @@
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "remembered-outcome"});
         return key;
     }
+    // An earlier submission of the job, maybe at another holder, has shown this.
+    if (m_crashes.highestSuspicion(job.id + '.') == TaskSuspicion::AtFault) {
+        m_results.push_back({key, {JobVerdict::Failed, TaskAtFaultReason, 0}});
+        return key;
+    }
     const auto *rule = m_configuration ? m_configuration->find(job.queue) : nullptr;
     if (rule == nullptr)
         return refuse("unknown-queue", NoInstanceRetryMs);
@@ -367,6 +413,9 @@
 
 void RunScheduler::collectResults(LeasedInstance &instance, Milliseconds now)
 {
+    // The losses come first: they decide what follows the ends of the runs.
+    for (const auto &loss : instance.takeLosses())
+        onLoss(loss, now);
     for (const auto &result : instance.takeResults())
         onRunResult(instance, result, now);
     for (const auto &notice : instance.takeNotices())
@@ -391,9 +440,12 @@
 void RunScheduler::onRunResult(const LeasedInstance &instance, const RunResult &result,
                                Milliseconds now)
 {
-    const RunOutcome outcome{result.key, result.end,
+    const RunOutcome outcome{result.key,
+                             result.end,
                              instance.isFenced() && result.end != RunEnd::Done,
-                             result.elapsed.count(), instance.report().key.id};
+                             result.elapsed.count(),
+                             instance.report().key.id,
+                             m_crashes.suspicion(result.key.task)};
     if (m_acceptedRuns.contains(result.key))
         onAcceptedRunEnd(outcome, now);
     else if (const auto ref = findTask(result.key))
@@ -409,6 +461,7 @@
     addEvent({ScheduleEvent::Kind::Ended, jobId, outcome.key, outcome.instance,
               runEndName(outcome.end), outcome.elapsedMs, outcome.end});
     const bool isLocal = task.holder.empty();
+    task.suspicion = std::max(task.suspicion, outcome.suspicion);
     task.state = Task::State::Waiting;
     task.holder.clear();
     if (outcome.end == RunEnd::Done) {
@@ -424,6 +477,8 @@
         finish(jobId, {JobVerdict::Unknown, "cell-moved", 0}, now);
     } else if (outcome.end == RunEnd::Failed) {
         onTaskFailed(job, task, outcome.instance, outcome.key, now);
+    } else if (task.suspicion == TaskSuspicion::AtFault) {
+        finish(jobId, {JobVerdict::Failed, TaskAtFaultReason, 0}, now);
     } else if (task.runs >= job.rule.maxAttempts + ExtraRuns) {
         finish(jobId, {JobVerdict::Unknown, "task-lost-too-often", 0}, now);
     } else if (outcome.end == RunEnd::LeaseExpired) {
@@ -545,6 +600,7 @@
     startWaitingJobs(now);
     refuseLateJobs(now);
     evictOutcomes(now);
+    m_crashes.evict(now);
     for (auto &[id, instance] : m_instances) {
         std::ranges::move(instance.nextStops(now), std::back_inserter(m_stops));
         if (auto order = instance.nextHold(now))
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -1,6 +1,7 @@
 /// @file Schedules the tasks of jobs on the instances of the cells that this entry holds.
 #pragma once
 
+#include "CrashHistory.h"
 #include "FleetTypes.h"
 #include "InstanceHealth.h"
 #include "InstanceOrders.h"
@@ -71,6 +72,7 @@
         Stalled,
         UnknownRun, ///< An instance lists a run that is not one of this holder's.
         InstanceRestarted,
+        InstanceLost, ///< With the runs that it had.
     };
 
     Kind kind = Kind::Started;
@@ -99,6 +101,12 @@
     void setInstances(const std::map<std::string, InstanceReport> &instances,
                       const std::map<std::string, std::uint64_t> &heldTokens, Milliseconds now);
 
+    // --- Instances that were lost under tasks
+    /// Adds what other processes have seen.
+    void addLosses(const std::vector<InstanceLoss> &losses, Milliseconds now);
+    /// Losses at held instances since the last call, for the other processes.
+    [[nodiscard]] std::vector<InstanceLoss> takeLosses() { return std::exchange(m_newLosses, {}); }
+
     // --- Jobs
     /// Accepts a job, joins one with the same id, or repeats a retained outcome. The outcome
     /// follows in takeResults() under the returned key; joined submissions share one.
@@ -183,6 +191,7 @@
         State state = State::Waiting;
         std::uint64_t runs = 0; ///< Number of starts so far; identifies the current run.
         std::uint32_t failures = 0;
+        TaskSuspicion suspicion = TaskSuspicion::None; ///< Of the holders that have run it.
         std::string instance; ///< Instance of the current run, if it is held here.
         std::string holder; ///< Address of the holder of another cell that runs it, or empty.
         /// Instances where a run of this task has failed or lost its lease.
@@ -230,6 +239,7 @@
         LeasedInstance *instance = nullptr;
         ResourceVector free;
         double cost = 1.0; ///< Expected run time there, relative to a normal instance.
+        bool isIdle = false; ///< It has no runs.
         /// Maximum number of tasks of the step that may still start there.
         std::size_t maxNewTasks = 0;
     };
@@ -245,9 +255,15 @@
                                                     const std::string &prefix, Milliseconds now);
     [[nodiscard]] std::vector<Candidate> candidates(const Job &job, std::size_t stepIndex,
                                                     Milliseconds now);
-    /// The best candidate for a task, or null.
+    /// The best candidate for a task, or null. A task under which instances were lost runs alone if
+    /// it can, so that a further loss shows whether it is at fault.
     [[nodiscard]] static Candidate *pick(std::vector<Candidate> &found, const JobStep &step,
-                                         const std::vector<std::string> &avoid);
+                                         const std::vector<std::string> &avoid,
+                                         TaskSuspicion suspicion);
+    /// Takes the room of a task that is to start at a candidate.
+    static void take(Candidate &candidate, const JobStep &step, TaskSuspicion suspicion);
+    [[nodiscard]] TaskSuspicion suspicionOf(const Job &job, std::size_t step,
+                                            std::size_t index) const;
     /// Number of waiting tasks of a step that find room now.
     [[nodiscard]] std::size_t countPlaceable(const Job &job, std::size_t step, Milliseconds now);
     [[nodiscard]] static std::size_t countWaiting(const Job &job, std::size_t step);
@@ -286,6 +302,9 @@
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
     void eraseInstance(const std::string &id);
+    void onLoss(const InstanceLoss &loss, Milliseconds now);
+    /// Ends the job of a task that is at fault, also if a run of it goes on elsewhere.
+    void failIfAtFault(const std::string &task, Milliseconds now);
     [[nodiscard]] LeasedInstance *find(const InstanceKey &key);
     /// The job of this submission, or null if it has ended.
     [[nodiscard]] Job *find(const JobKey &key);
@@ -300,6 +319,8 @@
     std::uint64_t m_lastSession = 0; ///< Of an instance that was added or removed.
     InstanceHealth m_health;
     RunTimeModel m_runTimes;
+    CrashHistory m_crashes;
+    std::vector<InstanceLoss> m_newLosses;
 
     std::map<std::string, Job> m_jobs;
     std::uint64_t m_lastSubmission = 0;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -54,7 +54,9 @@
             }
             task.state = Task::State::Offered;
             ++task.runs;
-            offer.runs.push_back({{taskName(job.job.id, step, index), task.runs}, task.avoid});
+            offer.runs.push_back({{taskName(job.job.id, step, index), task.runs},
+                                  task.avoid,
+                                  suspicionOf(job, step, index)});
         }
         if (offer.runs.empty())
             continue;
@@ -134,27 +136,33 @@
         return {};
     auto found =
         candidates(rule->service, offer.step, taskNamePrefix(offer.job.id, offer.stepIndex), now);
-    std::vector<std::pair<RunKey, LeasedInstance *>> placed;
+    struct Placement
+    {
+        RunKey key;
+        LeasedInstance *instance = nullptr;
+        bool isExclusive = false;
+    };
+    std::vector<Placement> placed;
     for (const auto &run : offer.runs) {
         // A run of an earlier submission of the job may not have ended yet.
         const bool isPresent = std::ranges::any_of(
             m_instances, [&](const auto &it) { return it.second.hasRunOf(run.key.task); });
-        auto *candidate = isPresent ? nullptr : pick(found, offer.step, run.avoid);
+        const auto suspicion = std::max(run.suspicion, m_crashes.suspicion(run.key.task));
+        auto *candidate = isPresent ? nullptr : pick(found, offer.step, run.avoid, suspicion);
         if (candidate == nullptr)
             continue;
-        candidate->free -= offer.step.demand;
-        --candidate->maxNewTasks;
-        placed.emplace_back(run.key, candidate->instance);
+        take(*candidate, offer.step, suspicion);
+        placed.push_back({run.key, candidate->instance, suspicion != TaskSuspicion::None});
     }
     if (offer.allOrNone && placed.size() < offer.runs.size())
         return {};
     const auto estimate =
         m_runTimes.estimate(offer.queue, Milliseconds{double(offer.step.estimatedMs)});
     std::vector<RunKey> started;
-    for (const auto &[key, instance] : placed) {
+    for (const auto &[key, instance, isExclusive] : placed) {
         const auto &id = instance->report().key.id;
         m_starts.push_back(instance->start(key, offer.payload, offer.step.demand,
-                                           estimate * m_health.slowdown(id), now));
+                                           estimate * m_health.slowdown(id), now, isExclusive));
         m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step};
         addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id, "accepted-offer", 0});
         started.push_back(key);
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -49,11 +49,12 @@
     for (auto &[id, instance] : m_instances) {
         const auto &report = instance.report();
         const bool isMatch = report.service == service && instance.isUsable(now)
-            && step.demand.fitsInto(instance.freeCapacity())
+            && !instance.hasExclusiveRun() && step.demand.fitsInto(instance.freeCapacity())
             && (step.requiredLabel.empty() || report.hasLabel(step.requiredLabel));
         if (!isMatch)
             continue;
-        Candidate candidate{&instance, instance.freeCapacity(), 1.0, step.taskCount};
+        Candidate candidate{&instance, instance.freeCapacity(), 1.0, instance.runCount() == 0,
+                            step.taskCount};
         if (!m_health.isTrusted(id)) {
             if (!m_health.mayRunTrial(id, now) || instance.runCount() > 0)
                 continue;
@@ -78,14 +79,16 @@
 }
 
 RunScheduler::Candidate *RunScheduler::pick(std::vector<Candidate> &found, const JobStep &step,
-                                            const std::vector<std::string> &avoid)
+                                            const std::vector<std::string> &avoid,
+                                            TaskSuspicion suspicion)
 {
     Candidate *best = nullptr;
-    double bestScore = 0;
+    std::pair<bool, double> bestScore; // Whether the task would not be alone, and the cost.
     for (auto &candidate : found) {
         const auto &id = candidate.instance->report().key.id;
         if (candidate.maxNewTasks == 0 || !step.demand.fitsInto(candidate.free)
-            || std::ranges::find(avoid, id) != avoid.end())
+            || std::ranges::find(avoid, id) != avoid.end()
+            || (suspicion >= TaskSuspicion::StrongSuspect && !candidate.isIdle))
             continue;
         // Cost is compared in coarse steps, so that noise does not degrade the packing: among
         // instances of about equal speed, the one with the least remaining CPU is chosen.
@@ -93,9 +96,11 @@
         const auto remainingCpu = candidate.free.cpuMillicores - step.demand.cpuMillicores;
         const auto totalCpu =
             std::max<std::int64_t>(1, candidate.instance->report().capacity.cpuMillicores);
-        const auto score = roundedCost
+        const auto cost = roundedCost
             + RemainingCpuWeight * static_cast<double>(remainingCpu)
                 / static_cast<double>(totalCpu);
+        const bool isBeside = suspicion != TaskSuspicion::None && !candidate.isIdle;
+        const std::pair score{isBeside, cost};
         if (best == nullptr || score < bestScore) {
             best = &candidate;
             bestScore = score;
@@ -104,18 +109,34 @@
     return best;
 }
 
+void RunScheduler::take(Candidate &candidate, const JobStep &step, TaskSuspicion suspicion)
+{
+    candidate.free -= step.demand;
+    candidate.isIdle = false;
+    candidate.maxNewTasks = suspicion == TaskSuspicion::None ? candidate.maxNewTasks - 1 : 0;
+}
+
+TaskSuspicion RunScheduler::suspicionOf(const Job &job, std::size_t step, std::size_t index) const
+{
+    const auto known = job.tasks[step][index].suspicion;
+    if (m_crashes.size() == 0)
+        return known;
+    return std::max(known, m_crashes.suspicion(taskName(job.job.id, step, index)));
+}
+
 std::size_t RunScheduler::countPlaceable(const Job &job, std::size_t step, Milliseconds now)
 {
     auto found = candidates(job, step, now);
     std::size_t count = 0;
-    for (const auto &task : job.tasks[step]) {
+    for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
+        const auto &task = job.tasks[step][index];
         if (task.state != Task::State::Waiting)
             continue;
-        auto *candidate = pick(found, job.job.steps[step], task.avoid);
+        const auto suspicion = suspicionOf(job, step, index);
+        auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion);
         if (candidate == nullptr)
             continue;
-        candidate->free -= job.job.steps[step].demand;
-        --candidate->maxNewTasks;
+        take(*candidate, job.job.steps[step], suspicion);
         ++count;
     }
     return count;
@@ -156,7 +177,9 @@
     const auto expected = expectedTime(job, jobStep) * m_health.slowdown(id);
     const RunKey key{taskName(job.job.id, step, index), task.runs};
     chargeQueue(job.rule.name, jobStep, expected);
-    m_starts.push_back(instance.start(key, job.job.payload, jobStep.demand, expected, now));
+    const bool isExclusive = suspicionOf(job, step, index) != TaskSuspicion::None;
+    m_starts.push_back(
+        instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive));
     addEvent(
         {ScheduleEvent::Kind::Started, job.job.id, key, id, "room", (now - job.arrivedAt).count()});
 }
@@ -181,13 +204,13 @@
             auto &task = job.tasks[step][index];
             if (!isWaitingTask(task))
                 continue;
-            auto *candidate = pick(found, job.job.steps[step], task.avoid);
+            const auto suspicion = suspicionOf(job, step, index);
+            auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion);
             if (candidate == nullptr) {
                 isComplete = false;
                 continue;
             }
-            candidate->free -= job.job.steps[step].demand;
-            --candidate->maxNewTasks;
+            take(*candidate, job.job.steps[step], suspicion);
             startTask(job, step, index, *candidate->instance, now);
         }
     }
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -242,6 +242,11 @@
     }
     [[nodiscard]] std::map<std::string, SimulatedInstance> &instances() { return m_instances; }
 
+    /// Whether the start of a task crashes its instance, which is back after some seconds.
+    std::function<bool(const std::string &task)> crashes = [](const std::string &) {
+        return false;
+    };
+    int crashCount = 0;
     /// Duration of each run of a task, and the resources that each run needs.
     std::function<double(const std::string &task)> runTime = [](const std::string &) { return 60; };
     ResourceVector demand{14'000, 64, 0};
@@ -270,6 +275,32 @@
     }
 
 private:
+    OrderReply startAt(const StartOrder &order)
+    {
+        const auto &id = order.target.instance.id;
+        auto reply = m_instances.at(id).start(order, demand, runTime(order.key.task),
+                                              chance(m_faults.failingRuns), now);
+        if (reply.result != OrderResult::Accepted || !crashes(order.key.task))
+            return reply;
+        crashInstance(id);
+        return {};
+    }
+
+    /// The instance ends with its runs, and answers nothing until it is back under its id.
+    void crashInstance(const std::string &id)
+    {
+        constexpr double DownMs = 3'000;
+        ++crashCount;
+        m_instances.at(id).restart(now);
+        m_down.insert(id);
+        for (auto &holder : m_holders)
+            holder->onDisconnect(m_instances.at(id).report().address);
+        schedule(now + DownMs, [this, id] {
+            m_down.erase(id);
+            restartInstance(id);
+        });
+    }
+
     double delay() { return std::uniform_real_distribution<>(0.1, m_faults.maxDelayMs)(m_random); }
     bool losesReply(const std::string &instance)
     {
@@ -304,6 +335,10 @@
                 deliverReply<Reply>(holder, onReply, reply);
             });
         };
+        if (m_down.contains(instance)) {
+            replyAt(now + timeout, Reply{});
+            return;
+        }
         if (chance(m_faults.delayedOrders)) {
             schedule(now + std::uniform_real_distribution<>(2'000, 12'000)(m_random),
                      [execute] { (void)execute(); });
@@ -334,12 +369,13 @@
     void replyToHold(RunScheduler &holder, const HoldOrder &order, double until)
     {
         auto &instance = m_instances.at(order.target.instance.id);
-        auto reply = instance.hold(order, now);
+        const bool isDown = m_down.contains(order.target.instance.id);
+        auto reply = isDown ? HoldReply{} : instance.hold(order, now);
         if (reply.ended.empty() && now < until && reply.result == OrderResult::Accepted) {
             schedule(now + 1, [=, this, &holder] { replyToHold(holder, order, until); });
             return;
         }
-        const bool isLost = losesReply(order.target.instance.id);
+        const bool isLost = isDown || losesReply(order.target.instance.id);
         const auto at =
             isLost ? until + m_settings.lease.replyTimeout.minTimeout.count() : now + delay();
         schedule(at, [=, this, &holder] {
@@ -358,12 +394,7 @@
         holder.advance(at);
         for (const auto &order : holder.takeStarts()) {
             send<OrderReply>(
-                holder, order.target.instance.id,
-                [this, order] {
-                    return m_instances.at(order.target.instance.id)
-                        .start(order, demand, runTime(order.key.task), chance(m_faults.failingRuns),
-                               now);
-                },
+                holder, order.target.instance.id, [this, order] { return startAt(order); },
                 [this, &holder, order](OrderReply it) {
                     holder.onStartReply(order, it, Milliseconds{now});
                 });
@@ -488,6 +519,7 @@
     SchedulerSettings m_settings;
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, SimulatedInstance> m_instances;
+    std::set<std::string> m_down; ///< Instances that have crashed and are not back.
     std::vector<std::unique_ptr<RunScheduler>> m_holders;
     /// Tokens of the held instances, by holder.
     std::map<const RunScheduler *, std::map<std::string, std::uint64_t>> m_tokens;
--- /dev/null
+++ b/test/correctness/CrashingTaskTest.cpp
@@ -0,0 +1,128 @@
+/// @file Tasks that crash each instance that starts them, and the tasks beside them.
+#include "FleetModel.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+namespace {
+
+/// A task may be started on this many instances that crash under it.
+constexpr int MaxCrashesOfTask = 3;
+
+FleetConfiguration makeConfiguration()
+{
+    QueueRule rule;
+    rule.name = "queue";
+    rule.service = "service";
+    rule.targetMs = 60;
+    rule.stretch = 1.6;
+    rule.maxAttempts = 4;
+    return {1, {rule}};
+}
+
+FleetJob makeJob(const std::string &id, std::uint32_t tasks)
+{
+    JobStep step;
+    step.taskCount = tasks;
+    step.demand = {14'000, 64, 0};
+    step.estimatedMs = 900;
+    return {id, "queue", "payload", {step}};
+}
+
+/// The first task of each job whose name begins so crashes its instances.
+bool isDeadly(const std::string &task)
+{
+    return task.starts_with("deadly") && task.ends_with(".0");
+}
+
+} // namespace
+
+TEST_CASE("a task that crashes its instances is given up after a few of them", "[crash]")
+{
+    // Guards against one task that takes down instance after instance (BUDGET).
+    const auto offersRuns = GENERATE(false, true);
+    CAPTURE(offersRuns);
+    FleetSimulation world(16, {}, 1);
+    world.offersRuns = offersRuns;
+    world.crashes = isDeadly;
+    world.runTime = [](const std::string &) { return 900; };
+    auto &first = world.addHolder(1, makeConfiguration(), 0, 8);
+    (void)world.addHolder(1, makeConfiguration(), 8, 8);
+    world.run(50);
+    first.submit(makeJob("deadly", 6), {}, Milliseconds{world.now});
+    world.run(20'000);
+    REQUIRE(world.outcomes.contains("deadly"));
+    CHECK(world.outcomes.at("deadly").verdict == JobVerdict::Failed);
+    CHECK(world.outcomes.at("deadly").reason == "task-crashes-instances");
+    CHECK(world.crashCount <= MaxCrashesOfTask);
+    CHECK(world.doubleRuns == 0);
+}
+
+TEST_CASE("tasks that ran beside a task that crashes its instances are completed", "[crash]")
+{
+    // Guards against jobs that are given up because their tasks shared instances with such a task.
+    const auto seed = GENERATE(range(1, 9));
+    CAPTURE(seed);
+    FleetSimulation world(24, {}, static_cast<std::uint64_t>(seed));
+    world.crashes = isDeadly;
+    world.runTime = [](const std::string &) { return 300; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(50);
+    int serial = 0;
+    while (world.now < 6'000) {
+        const auto number = std::to_string(++serial);
+        const bool isDeadlyJob = serial % 20 == 0;
+        holder.submit(makeJob((isDeadlyJob ? "deadly" : "harmless") + number, 3), {},
+                      Milliseconds{world.now});
+        world.run(world.now + 60);
+    }
+    world.run(20'000);
+    const auto wasGivenUp = [](const auto &it) {
+        return it.first.starts_with("harmless") && it.second.verdict == JobVerdict::Failed;
+    };
+    CHECK(std::ranges::count_if(world.outcomes, wasGivenUp) == 0);
+    CHECK(world.crashCount > 0);
+    CHECK(world.crashCount <= MaxCrashesOfTask * serial / 20);
+}
+
+TEST_CASE("what a crash teaches outlives the holder and a resent job", "[crash]")
+{
+    // Guards against a count that begins anew when a caller sends the job again elsewhere (BUDGET).
+    FleetSimulation world(16, {}, 1);
+    world.crashes = isDeadly;
+    auto &first = world.addHolder(1, makeConfiguration(), 0, 8);
+    auto &second = world.addHolder(1, makeConfiguration(), 8, 8);
+    world.run(50);
+    first.submit(makeJob("deadly", 1), {}, Milliseconds{world.now});
+    world.run(10'000);
+    REQUIRE(world.outcomes.erase("deadly") == 1);
+    const auto crashesBefore = world.crashCount;
+    second.addLosses(first.takeLosses(), Milliseconds{world.now});
+    second.submit(makeJob("deadly", 1), {}, Milliseconds{world.now});
+    world.run(20'000);
+    REQUIRE(world.outcomes.contains("deadly"));
+    CHECK(world.outcomes.at("deadly").verdict == JobVerdict::Failed);
+    CHECK(world.crashCount == crashesBefore);
+}
+
+TEST_CASE("a loss that another process reports ends the job of a task that is at fault", "[crash]")
+{
+    FleetSimulation world(8, {}, 1);
+    world.runTime = [](const std::string &) { return 5'000; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(50);
+    holder.submit(makeJob("job", 1), {}, Milliseconds{world.now});
+    world.run(100);
+    holder.addLosses({{{"other-1", 1'000}, {"job.0.0.0"}}}, Milliseconds{world.now});
+    world.run(150);
+    CHECK_FALSE(world.outcomes.contains("job"));
+    holder.addLosses({{{"other-2", 1'000}, {"job.0.0.0"}}}, Milliseconds{world.now});
+    world.run(300);
+    REQUIRE(world.outcomes.contains("job"));
+    CHECK(world.outcomes.at("job").verdict == JobVerdict::Failed);
+}
