Bind replies, delays and undelivered starts to the session of their order

Cause: the class of the fault before this commit. Not only a start outlives the incarnation that it was meant for: the delay after missing replies kept the later incarnation unfenced for up to 1.6 s; a 421, a clock reading or a missing reply of an earlier session was taken for one of the present; starts that were decided and not sent yet were sent under an authority that had ended; and a grant that came back to its holder began no session and left the instance given up.

Change: each run and each reply names its session. A session ends with every sign of a restart, with a lease that expires and with a higher grant; it takes the delay with it, and replies to its orders then say only what became of their own run.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -65,11 +65,10 @@
         it = next;
     }
     m_notices.push_back({InstanceNotice::Kind::Restarted, {}, endedRuns});
-    ++m_session;
+    beginSession();
     m_report.key.startTimeMs = startTimeMs;
     m_isReportOutdated = true;
     m_processedThrough = m_ackedThrough = m_ackInFlight = 0;
-    m_isHoldInFlight = m_isSynced = false;
     m_clockMs.reset();
     m_leaseUntilMs = 0;
     m_incarnationKnownAt = now;
@@ -132,6 +131,8 @@
         return;
     endAll(now);
     m_isSynced = false;
+    // Starts without a reply may have been among them.
+    ++m_session;
 }
 
 bool LeasedInstance::mayOutliveLease(const Run &run, Milliseconds now) const
@@ -152,10 +153,25 @@
     m_isHoldInFlight = false;
 }
 
-void LeasedInstance::onDisconnect()
+void LeasedInstance::beginSession()
 {
     invalidate();
     ++m_session;
+    // The missing replies were those of the earlier incarnation. The sooner the first order
+    // arrives, the sooner the instance refuses those that are late.
+    m_missedReplies = 0;
+    m_backoffUntil = Milliseconds{-1e18};
+}
+
+void LeasedInstance::onDisconnect() { beginSession(); }
+
+void LeasedInstance::raiseToken(std::uint64_t token)
+{
+    if (token <= m_token)
+        return;
+    m_token = token;
+    m_isFenced = false;
+    beginSession();
 }
 
 void LeasedInstance::recordLoss()
@@ -191,6 +207,7 @@
     Run run;
     run.demand = demand;
     run.isExclusive = isExclusive;
+    run.session = m_session;
     run.startedAt = run.progressAt = run.listedAt = now;
     run.expectedEnd = now + expected;
     m_used += demand;
@@ -312,13 +329,22 @@
     }
 }
 
-void LeasedInstance::onStartReply(const RunKey &key, const OrderReply &reply, Milliseconds now)
+void LeasedInstance::onOrderReply(const OrderReply &reply, Milliseconds now,
+                                  std::optional<std::uint64_t> session)
 {
     onIncarnation(reply.startTimeMs, now);
+    if (session && *session < m_session)
+        return;
     updateClock(reply.clockMs, now);
     onReplyResult(reply.result, now);
+}
+
+void LeasedInstance::onStartReply(const RunKey &key, const OrderReply &reply, Milliseconds now,
+                                  std::optional<std::uint64_t> session)
+{
+    onOrderReply(reply, now, session);
     const auto it = m_runs.find(key);
-    if (it == m_runs.end())
+    if (it == m_runs.end() || it->second.session > session.value_or(m_session))
         return;
     auto &run = it->second;
     switch (reply.result) {
@@ -339,11 +365,10 @@
     }
 }
 
-void LeasedInstance::onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now)
+void LeasedInstance::onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now,
+                                 std::optional<std::uint64_t> session)
 {
-    onIncarnation(reply.startTimeMs, now);
-    updateClock(reply.clockMs, now);
-    onReplyResult(reply.result, now);
+    onOrderReply(reply, now, session);
     const auto it = m_runs.find(key);
     if (it == m_runs.end())
         return;
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -82,10 +82,11 @@
     [[nodiscard]] const InstanceReport &report() const { return m_report; }
     [[nodiscard]] std::uint64_t token() const { return m_token; }
     [[nodiscard]] std::uint64_t session() const { return m_session; }
-    /// Whether an order was given before the latest change of the token or the session.
+    /// Whether an order of this holder was given in an earlier session. Its reply says nothing
+    /// about the present incarnation but whether the order was carried out.
     [[nodiscard]] bool isSuperseded(const OrderTarget &order) const
     {
-        return order.fencingToken() < target().fencingToken();
+        return order.session < m_session;
     }
     /// Whether new runs may be started here now.
     [[nodiscard]] bool isUsable(Milliseconds now) const;
@@ -117,8 +118,11 @@
     /// When nextStops() or nextHold() may return an order without a new event.
     [[nodiscard]] Milliseconds nextDeadline(Milliseconds now) const;
 
-    void onStartReply(const RunKey &key, const OrderReply &reply, Milliseconds now);
-    void onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now);
+    /// @param session of the order; nothing for the present one.
+    void onStartReply(const RunKey &key, const OrderReply &reply, Milliseconds now,
+                      std::optional<std::uint64_t> session = std::nullopt);
+    void onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now,
+                     std::optional<std::uint64_t> session = std::nullopt);
     /// @param serial of the order; a reply to any order but the last one is ignored.
     void onHoldReply(std::uint64_t serial, const HoldReply &reply, Milliseconds now);
 
@@ -132,8 +136,9 @@
     void endAll(Milliseconds now);
     /// Another holder has taken over: ends all runs without a known result and orders nothing more.
     void fence();
-    /// This holder was granted a higher token.
-    void raiseToken(std::uint64_t token) { m_token = std::max(m_token, token); }
+    /// This holder was granted a token. After a higher one the lists are read again, because
+    /// another holder may have had the instance in between.
+    void raiseToken(std::uint64_t token);
 
     /// Runs that have ended since the last call.
     [[nodiscard]] std::vector<RunResult> takeResults() { return std::exchange(m_results, {}); }
@@ -164,6 +169,7 @@
         bool isForeign = false;
         bool isStopInFlight = false;
         bool isExclusive = false; ///< No other run may start beside it.
+        std::uint64_t session = 0; ///< In which it was ordered; of a foreign run, the first known.
         /// A list has shown it, so it was started on the incarnation that is known.
         bool wasListed = false;
         /// When a reply or a list first showed that the run has started.
@@ -186,6 +192,11 @@
     [[nodiscard]] std::uint64_t extendLease(Milliseconds now);
     void updateClock(const std::optional<double> &clockMs, Milliseconds now);
     void onReplyResult(OrderResult result, Milliseconds now);
+    /// Begins a session: the instance may have restarted, or another holder may have had it.
+    void beginSession();
+    /// What a reply says about the instance itself, unless it is to an order of an earlier session.
+    void onOrderReply(const OrderReply &reply, Milliseconds now,
+                      std::optional<std::uint64_t> session);
     /// Whether the hold in flight was sent before a stop was acknowledged or a start turned out to
     /// be unanswered, so that its list cannot show the state of that run.
     [[nodiscard]] bool isHoldOutdated() const;
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -28,16 +28,6 @@
     return report.service == service && report.state != InstanceState::Gone;
 }
 
-/// An order that a later order of this holder has fenced off was refused, but no other holder has
-/// taken over.
-template <typename Reply>
-Reply withoutOwnFence(const OrderTarget &target, Reply reply, const LeasedInstance &instance)
-{
-    if (reply.result == OrderResult::Fenced && instance.isSuperseded(target))
-        reply.result = OrderResult::Outdated;
-    return reply;
-}
-
 ScheduleEvent eventOf(const InstanceNotice &notice, const std::string &instance)
 {
     if (notice.kind == InstanceNotice::Kind::UnknownRun)
@@ -376,20 +366,18 @@
     }
 }
 
-void RunScheduler::onStartReply(const StartOrder &order, const OrderReply &received,
-                                Milliseconds now)
+void RunScheduler::onStartReply(const StartOrder &order, const OrderReply &reply, Milliseconds now)
 {
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
-    const auto reply = withoutOwnFence(order.target, received, *instance);
     if (reply.result != OrderResult::Accepted)
         addEvent({ScheduleEvent::Kind::Ended,
                   {},
                   order.key,
                   order.target.instance.id,
                   orderResultName(reply.result)});
-    instance->onStartReply(order.key, reply, now);
+    instance->onStartReply(order.key, reply, now, order.target.session);
     collectResults(*instance, now);
 }
 
@@ -398,7 +386,7 @@
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
-    instance->onStopReply(order.key, withoutOwnFence(order.target, reply, *instance), now);
+    instance->onStopReply(order.key, reply, now, order.target.session);
     collectResults(*instance, now);
 }
 
@@ -407,7 +395,8 @@
     auto *instance = find(order.target.instance);
     if (instance == nullptr)
         return;
-    instance->onHoldReply(order.serial, withoutOwnFence(order.target, reply, *instance), now);
+    if (!instance->isSuperseded(order.target))
+        instance->onHoldReply(order.serial, reply, now);
     collectResults(*instance, now);
 }
 
@@ -576,8 +565,22 @@
     }
 }
 
+void RunScheduler::withholdSupersededStarts(Milliseconds now)
+{
+    const auto isPresent = [this](const StartOrder &order) {
+        const auto *instance = find(order.target.instance);
+        return instance != nullptr && !instance->isSuperseded(order.target);
+    };
+    const auto withheld = std::ranges::stable_partition(m_starts, isPresent);
+    const std::vector<StartOrder> orders(withheld.begin(), withheld.end());
+    m_starts.erase(withheld.begin(), withheld.end());
+    for (const auto &order : orders)
+        onStartReply(order, {OrderResult::NotSent, std::nullopt, 0}, now);
+}
+
 void RunScheduler::advance(Milliseconds now)
 {
+    withholdSupersededStarts(now);
     const bool hasResumed = wasPaused(now);
     for (auto &[id, instance] : m_instances) {
         if (hasResumed)
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -285,6 +285,8 @@
     void storeOutcome(const std::string &jobId, const JobOutcome &outcome, Milliseconds now);
     void evictOutcomes(Milliseconds now);
     void restartStalledRuns(Milliseconds now);
+    /// Does not send the starts that were decided before a change of the instance became known.
+    void withholdSupersededStarts(Milliseconds now);
 
     void collectResults(LeasedInstance &instance, Milliseconds now);
     void onRunResult(const LeasedInstance &instance, const RunResult &result, Milliseconds now);
@@ -316,7 +318,9 @@
     /// All instances, including those of other holders.
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, LeasedInstance> m_instances; ///< Held instances, by id.
-    std::uint64_t m_lastSession = 0; ///< Of an instance that was added or removed.
+    /// At least the session of every instance that was removed, so that one that is held again
+    /// begins a later one.
+    std::uint64_t m_lastSession = 0;
     InstanceHealth m_health;
     RunTimeModel m_runTimes;
     CrashHistory m_crashes;
