Exchange lost instances among all processes

Entries report the losses of instances to all control instances, which keep them in memory and pass them to every entry with the next change; an entry tells a control instance that has restarted or come back what it remembers. Counts, names and tasks in a message are bounded. The wire version is raised.

--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -8,12 +8,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace Camphor {
 
 namespace {
 
 constexpr int MaxTimeoutDoublings = 4;
+constexpr Milliseconds ReportLossesTimeout{2'000};
 
 } // namespace
 
@@ -69,6 +71,7 @@
     request.instances = m_instances;
     request.directoryEpoch = source.epoch;
     request.directoryRevision = source.revision;
+    request.lossRevision = source.lossRevision;
     request.documentVersion = m_announcedVersion;
     request.waitMs = static_cast<std::uint32_t>(wait.count());
     for (const auto &[name, grant] : m_view.grants)
@@ -112,8 +115,12 @@
         retryLater(address);
         return;
     }
-    if (!std::exchange(source.isConnected, true))
+    const bool isRegained = !std::exchange(source.isConnected, true);
+    if (isRegained)
         Log::info(LogEvent::ControlRegained).kv("address", address);
+    // It may have missed reports, and a restarted process remembers none.
+    if (isRegained || source.epoch != update.value().directoryEpoch)
+        sendLosses(source, newestLosses());
     onUpdate(source, update.value());
     fetchDocument({});
     watch(address);
@@ -192,10 +199,13 @@
     m_updatedAt = now;
     source.epoch = update.directoryEpoch;
     source.revision = update.directoryRevision;
+    source.lossRevision = update.lossRevision;
     source.isLeader = update.isLeader;
     bool hasChanged = m_view.instances.evictGone(now);
     for (const auto &report : update.instances)
         hasChanged = m_view.instances.merge(report, now) || hasChanged;
+    m_view.losses.evict(now);
+    hasChanged = addLosses(update.losses) || hasChanged;
     source.documentVersion = update.documentVersion;
     m_announcedVersion = std::max(m_announcedVersion, update.documentVersion);
     // A member that lags or was partitioned may have an older state; the view never goes back.
@@ -224,6 +234,46 @@
         m_onChange();
 }
 
+void ControlWatch::reportLosses(const std::vector<InstanceLoss> &losses)
+{
+    (void)addLosses(losses);
+    // A source that is not connected gets them when it is regained.
+    for (auto &[address, source] : m_sources) {
+        if (source.client && source.isConnected)
+            sendLosses(source, losses);
+    }
+}
+
+bool ControlWatch::addLosses(const std::vector<InstanceLoss> &losses)
+{
+    bool hasNew = false;
+    for (const auto &loss : losses)
+        hasNew = m_view.losses.add(loss, m_clock.now()) || hasNew;
+    return hasNew;
+}
+
+std::vector<InstanceLoss> ControlWatch::newestLosses()
+{
+    m_view.losses.evict(m_clock.now());
+    auto losses = m_view.losses.addedSince(0);
+    const auto extra = losses.size() - std::min(losses.size(), MaxLossesPerMessage);
+    losses.erase(losses.begin(), losses.begin() + static_cast<std::ptrdiff_t>(extra));
+    return losses;
+}
+
+void ControlWatch::sendLosses(Source &source, std::span<const InstanceLoss> losses) const
+{
+    while (!losses.empty()) {
+        const auto batch = losses.first(std::min(losses.size(), MaxLossesPerMessage));
+        losses = losses.subspan(batch.size());
+        ReportLossesRequest request;
+        std::ranges::copy_if(batch, std::back_inserter(request.losses),
+                             [](const auto &it) { return bool(checkLoss(it)); });
+        source.client->call(MessageKind::ReportLosses, encodeMessage(request), ReportLossesTimeout,
+                            [](const RpcResult &) { });
+    }
+}
+
 bool ControlWatch::isReplaced(const Source &source) const
 {
     // While no member replies, none can name the address: this entry itself may be partitioned.
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -3,6 +3,7 @@
 
 #include "CellMap.h"
 #include "ConnectRetry.h"
+#include "CrashHistory.h"
 #include "FleetProtocol.h"
 #include "InstanceDirectory.h"
 #include "RpcClient.h"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,7 @@
     std::string documentContent; ///< The encoded configuration.
     std::map<std::string, CellGrant> grants; ///< By cell name.
     InstanceView instances;
+    CrashHistory losses;
 };
 
 struct ControlWatchSettings
@@ -67,6 +70,8 @@
         m_reachableHolders = std::move(names);
     }
     void addSeeds(const std::vector<std::string> &addresses);
+    /// Adds losses to the view, and tells the control instances, which tell the other entries.
+    void reportLosses(const std::vector<InstanceLoss> &losses);
     /// Number of addresses that are polled.
     [[nodiscard]] std::size_t sourceCount() const { return m_sources.size(); }
 
@@ -78,6 +83,7 @@
         std::shared_ptr<RpcClient> client;
         std::uint64_t epoch = 0;
         std::uint64_t revision = 0;
+        std::uint64_t lossRevision = 0;
         std::uint64_t documentVersion = 0; ///< Newest version that it has announced.
         bool isLeader = false;
         bool isConnected = true;
@@ -90,6 +96,12 @@
     [[nodiscard]] ConnectAttempt nextAttempt(const Source &source) const;
     void onResult(const std::string &address, const RpcResult &result);
     void onUpdate(Source &source, const FleetUpdate &update);
+    /// @return whether any loss was not known yet.
+    bool addLosses(const std::vector<InstanceLoss> &losses);
+    /// The newest losses that are remembered, as many as fit into a message.
+    [[nodiscard]] std::vector<InstanceLoss> newestLosses();
+    /// Sends losses, except those that exceed the bounds of a message.
+    void sendLosses(Source &source, std::span<const InstanceLoss> losses) const;
     /// Fetches the newest announced configuration unless that is in progress. Prefers other members
     /// than the one that has just failed.
     void fetchDocument(const std::string &failed);
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -257,6 +257,8 @@
                        static_cast<double>(m_node->configuration().voterCount()));
     m_metrics.setGauge("camphorspindle_instances_known", "Instances known to this member.",
                        static_cast<double>(m_directory.size()));
+    m_metrics.setGauge("camphorspindle_losses_known", "Lost instances that are remembered.",
+                       static_cast<double>(m_losses.size()));
     return m_metrics.text();
 }
 
@@ -270,6 +272,8 @@
     switch (kind) {
     case MessageKind::WatchFleet:
         return onWatch(payload, reply);
+    case MessageKind::ReportLosses:
+        return onReportLosses(payload, reply);
     case MessageKind::FetchDocument:
         return onFetch(payload, reply);
     case MessageKind::JoinGroup:
@@ -308,6 +312,29 @@
     m_watchers.push_back({*request, reply, now + Milliseconds{double(request->waitMs)}});
 }
 
+void FleetControl::onReportLosses(const std::string &payload, const RpcReply &reply)
+{
+    const auto request = decodeOrReject<ReportLossesRequest>(payload, reply);
+    if (!request)
+        return;
+    reply(std::string());
+    bool hasNew = false;
+    for (const auto &loss : request->losses)
+        hasNew = addLoss(loss) || hasNew;
+    if (hasNew)
+        replyToWatchers(false);
+}
+
+bool FleetControl::addLoss(const InstanceLoss &loss)
+{
+    if (!m_losses.add(loss, m_clock.now()))
+        return false;
+    Log::info(LogEvent::LossReported)
+        .kv("instance", loss.instance.id)
+        .kv("tasks", loss.tasks.size());
+    return true;
+}
+
 void FleetControl::onFetch(const std::string &payload, const RpcReply &reply)
 {
     if (const auto request = decodeOrReject<FetchDocumentRequest>(payload, reply))
@@ -318,6 +345,7 @@
 {
     const auto &state = m_node->state();
     return request.directoryEpoch != m_epoch || request.directoryRevision < m_directory.revision()
+        || request.lossRevision < m_losses.revision()
         || request.documentVersion < state.document().version
         || request.lastToken < state.lastToken();
 }
@@ -330,6 +358,11 @@
     update.directoryRevision = m_directory.revision();
     const bool isSameEpoch = request.directoryEpoch == m_epoch;
     update.instances = m_directory.changesSince(isSameEpoch ? request.directoryRevision : 0);
+    update.losses = m_losses.addedSince(isSameEpoch ? request.lossRevision : 0);
+    // Revisions are consecutive, so the last loss of a part has the revision that many before.
+    const auto sent = std::min(update.losses.size(), MaxLossesPerMessage);
+    update.lossRevision = m_losses.revision() - (update.losses.size() - sent);
+    update.losses.resize(sent);
     update.documentVersion = state.document().version;
     if (request.lastToken < state.lastToken()) {
         std::ranges::transform(state.grants(), std::back_inserter(update.grants),
@@ -498,6 +531,7 @@
         return now - it.second.lastContactAt > CandidateRetention;
     });
     m_entries.evictSilent(m_clock.now());
+    m_losses.evict(m_clock.now());
     joinGroup();
     runLeaderDuties();
     replyToWatchers(false);
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -4,6 +4,7 @@
 
 #include "CellAssignment.h"
 #include "ControlNode.h"
+#include "CrashHistory.h"
 #include "DocumentHistory.h"
 #include "EntryContacts.h"
 #include "FleetMetrics.h"
@@ -92,6 +93,9 @@
     void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply);
     void onWatch(const std::string &payload, const RpcReply &reply);
+    void onReportLosses(const std::string &payload, const RpcReply &reply);
+    /// @return whether the loss was not known yet.
+    bool addLoss(const InstanceLoss &loss);
     void onFetch(const std::string &payload, const RpcReply &reply);
     void onJoin(const std::string &payload, const RpcReply &reply);
     [[nodiscard]] bool hasUpdate(const WatchFleetRequest &request) const;
@@ -114,9 +118,9 @@
     [[nodiscard]] RaftMember self() const;
     void onStore(const std::string &payload, const RpcReply &reply);
     void onRead(const RpcReply &reply);
-    /// Forwards an operator's request to the leader.
     /// Returns a callback that also logs the answer to an operator's change.
     [[nodiscard]] OperatorCallback logAnswer(std::uint64_t version, OperatorCallback callback);
+    /// Forwards an operator's request to the leader.
     void forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback);
     void storeAsLeader(StoredDocument document, OperatorCallback callback);
     void readAsLeader(OperatorCallback callback);
@@ -133,7 +137,9 @@
     FleetMetrics m_metrics;
     DocumentHistory m_documents;
     InstanceDirectory m_directory;
-    std::uint64_t m_epoch = 0; ///< Epoch of m_directory; differs for each process.
+    CrashHistory m_losses;
+    /// Epoch of the revisions of m_directory and m_losses; differs for each process.
+    std::uint64_t m_epoch = 0;
     std::uint64_t m_storedRevision = 0; ///< Revision of m_directory that is on disk.
     Milliseconds m_nextStoreAt;
     std::list<Watcher> m_watchers;
--- a/src/FleetProtocol.cpp
+++ b/src/FleetProtocol.cpp
@@ -2,6 +2,8 @@
 
 #include "Settings.h"
 
+#include <algorithm>
+
 namespace Camphor {
 
 namespace {
@@ -26,4 +28,29 @@
     return checkSender(member.instance, {member.address, member.operatorAddress});
 }
 
+Status checkLoss(const InstanceLoss &loss)
+{
+    const auto &id = loss.instance.id;
+    if (id.empty() || id.size() > MaxLostInstanceIdBytes)
+        return Error{ErrorCode::InvalidRequest, "the id of a lost instance is empty or too long"};
+    if (loss.tasks.size() > MaxTasksPerLoss)
+        return Error{ErrorCode::InvalidRequest, "too many tasks of a lost instance"};
+    const bool isTooLong = std::ranges::any_of(
+        loss.tasks, [](const auto &task) { return task.size() > MaxTaskNameBytes; });
+    if (isTooLong)
+        return Error{ErrorCode::InvalidRequest, "the name of a lost task is too long"};
+    return okStatus();
+}
+
+Status ReportLossesRequest::check() const
+{
+    if (losses.size() > MaxLossesPerMessage)
+        return Error{ErrorCode::InvalidRequest, "too many lost instances"};
+    for (const auto &loss : losses) {
+        if (const auto status = checkLoss(loss); !status)
+            return status;
+    }
+    return okStatus();
+}
+
 } // namespace Camphor
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -2,11 +2,13 @@
 /// instances run tasks under leases.
 #pragma once
 
+#include "CrashHistory.h"
 #include "FleetTypes.h"
 #include "RaftCore.h"
 #include "Result.h"
 #include "TextDelta.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -44,6 +46,8 @@
     std::uint64_t documentVersion = 0; ///< Newest version that the entry has heard of.
     std::uint64_t lastToken = 0;
     std::uint32_t waitMs = 0;
+    /// Losses that the entry has; a revision of the same process as directoryRevision.
+    std::uint64_t lossRevision = 0;
 
     /// Fails if the entry has no name, or an address that no other process can call.
     [[nodiscard]] Status check() const;
@@ -52,7 +56,7 @@
     void serialize(Archive &archive)
     {
         archive(entry, isLeaving, reachableHolders, instances, directoryEpoch, directoryRevision,
-                documentVersion, lastToken, waitMs);
+                documentVersion, lastToken, waitMs, lossRevision);
     }
 };
 
@@ -65,12 +69,41 @@
     std::vector<CellGrant> grants;
     std::vector<std::string> controlAddresses; ///< RPC addresses of members and candidates.
     bool isLeader = false;
+    std::uint64_t lossRevision = 0; ///< Of the last of the losses.
+    /// Losses that the entry lacks, oldest first, at most MaxLossesPerMessage.
+    std::vector<InstanceLoss> losses;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(directoryEpoch, directoryRevision, instances, documentVersion, grants,
-                controlAddresses, isLeader);
+                controlAddresses, isLeader, lossRevision, losses);
+    }
+};
+
+/// Bounds of the losses in a message: the largest message takes half of DefaultMaxFrameBytes, and
+/// far more tasks than an instance runs fit into a loss.
+inline constexpr std::size_t MaxLossesPerMessage = 256;
+inline constexpr std::size_t MaxTasksPerLoss = 256;
+inline constexpr std::size_t MaxTaskNameBytes = 128;
+inline constexpr std::size_t MaxLostInstanceIdBytes = 256;
+
+/// Fails if a loss names no instance, or exceeds the bounds of a message.
+[[nodiscard]] Status checkLoss(const InstanceLoss &loss);
+
+/// Tells a control instance of lost instances. It passes them on to all entries that poll it, and
+/// keeps them in memory only. The reply has no payload.
+struct ReportLossesRequest
+{
+    std::vector<InstanceLoss> losses;
+
+    /// Fails if there are too many losses, or checkLoss() fails for one of them.
+    [[nodiscard]] Status check() const;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(losses);
     }
 };
 
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -11,7 +11,7 @@
 namespace Camphor {
 
 /// Version of the wire protocol. A peer with another version is refused.
-inline constexpr std::uint16_t WireVersion = 3;
+inline constexpr std::uint16_t WireVersion = 4;
 
 /// Kinds of messages. Numbers are part of the wire format and are never reused.
 enum class MessageKind : std::uint16_t {
@@ -50,6 +50,7 @@
     StoreDocument = 62,
     ReadDocument = 63,
     FetchDocument = 64,
+    ReportLosses = 65,
     SubmitJob = 70,
     CancelJob = 71,
     Ping = 72,
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -186,6 +186,8 @@
                  "The replicated log was replaced by a snapshot."},
     LogEventSpec{LogEvent::LogTailCut, "log-tail-cut", "bytes",
                  "An incomplete record at the end of the replicated log was truncated at startup."},
+    LogEventSpec{LogEvent::LossReported, "loss-reported", "instance tasks",
+                 "An entry reported a lost instance and the number of tasks that ran on it."},
     LogEventSpec{LogEvent::MemberRemoved, "member-removed", "member action",
                  "The group removed this member, which restarts under another name."},
     LogEventSpec{LogEvent::MemberStarts, "member-starts",
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -93,6 +93,7 @@
     LoadStarted,
     LogCompacted,
     LogTailCut,
+    LossReported,
     MemberRemoved,
     MemberStarts,
     MembershipChange,
--- a/test/error/FleetMessageErrorTest.cpp
+++ b/test/error/FleetMessageErrorTest.cpp
@@ -1,5 +1,6 @@
 /// @file Requests between processes of a fleet that can be decoded but cannot be served.
 #include "FleetProtocol.h"
+#include "Frame.h"
 #include "RpcDecode.h"
 
 #include <catch2/catch.hpp>
@@ -54,3 +55,30 @@
     CHECK_FALSE(isAccepted(JoinGroupRequest{{"m1", "127.0.0.1:7000", "x", true}}));
     CHECK_FALSE(isAccepted(JoinGroupRequest{{"", "127.0.0.1:7000", "127.0.0.1:7001", true}}));
 }
+
+TEST_CASE("a control instance accepts no more or larger losses than it can keep", "[fleet]")
+{
+    // Control instances keep losses in memory and pass them on to every entry.
+    const InstanceLoss largest{
+        {std::string(MaxLostInstanceIdBytes, 'i'), 1'000},
+        std::vector<std::string>(MaxTasksPerLoss, std::string(MaxTaskNameBytes, 't'))};
+    const ReportLossesRequest valid{std::vector<InstanceLoss>(MaxLossesPerMessage, largest)};
+    CHECK(isAccepted(valid));
+    CHECK(encodeMessage(valid).size() < DefaultMaxFrameBytes);
+
+    auto request = valid;
+    request.losses.push_back(largest);
+    CHECK_FALSE(isAccepted(request));
+    request = valid;
+    request.losses.back().tasks.emplace_back("task");
+    CHECK_FALSE(isAccepted(request));
+    request = valid;
+    request.losses.back().tasks.back().push_back('t');
+    CHECK_FALSE(isAccepted(request));
+    request = valid;
+    request.losses.back().instance.id.push_back('i');
+    CHECK_FALSE(isAccepted(request));
+    request = valid;
+    request.losses.back().instance.id.clear();
+    CHECK_FALSE(isAccepted(request));
+}
