Tell all entries of the losses, and give up a task that they show to be at fault

A loss that names a task twice counts once.

A smaller capacity is obeyed as before; that has a test now.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -20,16 +20,20 @@
     return "none";
 }
 
-bool CrashHistory::add(const InstanceLoss &loss, Milliseconds now)
+bool CrashHistory::add(InstanceLoss loss, Milliseconds now)
 {
+    // Another process may have sent it in any order.
+    std::ranges::sort(loss.tasks);
+    const auto repeated = std::ranges::unique(loss.tasks);
+    loss.tasks.erase(repeated.begin(), repeated.end());
     if (loss.tasks.empty() || !m_instances.insert(loss.instance).second)
         return false;
-    m_losses.push_back({loss, now, ++m_revision});
     for (const auto &task : loss.tasks) {
         auto &record = m_tasks[task];
         ++record.losses;
         record.lossesAlone += loss.tasks.size() == 1 ? 1 : 0;
     }
+    m_losses.push_back({std::move(loss), now, ++m_revision});
     evict(now);
     return true;
 }
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -22,7 +22,7 @@
 struct InstanceLoss
 {
     InstanceKey instance;
-    std::vector<std::string> tasks; ///< Names of the tasks, sorted.
+    std::vector<std::string> tasks; ///< Names of the tasks.
 
     auto operator<=>(const InstanceLoss &) const = default;
 
@@ -65,13 +65,13 @@
     }
 
     /// Adds a loss. @return whether it was not known yet.
-    bool add(const InstanceLoss &loss, Milliseconds now);
+    bool add(InstanceLoss loss, Milliseconds now);
     void evict(Milliseconds now);
 
     [[nodiscard]] TaskSuspicion suspicion(const std::string &task) const;
     /// The highest suspicion of all tasks whose names begin with a prefix.
     [[nodiscard]] TaskSuspicion highestSuspicion(const std::string &prefix) const;
-    /// Increases with each added loss.
+    /// Increases by one with each added loss.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     /// The remembered losses that were added after a revision, oldest first.
     [[nodiscard]] std::vector<InstanceLoss> addedSince(std::uint64_t revision) const;
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -180,6 +180,8 @@
             tokens[id] = grant->token;
     }
     m_scheduler.setInstances(view.instances.instances(), tokens, m_clock.now());
+    m_scheduler.addLosses(view.losses.addedSince(m_lossRevision), m_clock.now());
+    m_lossRevision = view.losses.revision();
     if (m_configuration)
         releaseStartWaiters();
     schedule();
@@ -551,6 +553,7 @@
         }
         self->m_watch->setReachableHolders(std::move(reachable));
         self->m_scheduler.advance(now);
+        self->reportLosses();
         self->sendOrders();
         self->deliverResults();
         self->makeOffers(now);
@@ -559,6 +562,13 @@
     });
 }
 
+void FleetEntry::reportLosses()
+{
+    const auto losses = m_scheduler.takeLosses();
+    if (!losses.empty())
+        m_watch->reportLosses(losses);
+}
+
 void FleetEntry::sendOrders()
 {
     const auto timeout = m_replyTimeout.timeout();
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -162,6 +162,8 @@
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
 
     void schedule();
+    /// Tells the control group under which tasks instances were lost.
+    void reportLosses();
     void sendOrders();
     /// Counts a reply to an order without a wait, or its lack.
     void countReply(const char *order, OrderResult result, Milliseconds elapsed);
@@ -192,6 +194,7 @@
     FleetMetrics m_metrics;
     RunScheduler m_scheduler;
     ReplyTimeout m_replyTimeout; ///< Of orders to instances.
+    std::uint64_t m_lossRevision = 0; ///< Of the losses in the view that the scheduler has.
     CellMap m_cells;
     std::vector<std::string> m_heldCells; ///< Names of the cells that this entry holds.
     std::size_t m_roundRobin = 0; ///< Round-robin position that spreads jobs over the cells.
--- a/test/correctness/CrashHistoryTest.cpp
+++ b/test/correctness/CrashHistoryTest.cpp
@@ -42,6 +42,8 @@
     CHECK_FALSE(history.add(lossOf("w2", {}), Milliseconds{1}));
     CHECK(history.suspicion("a") == TaskSuspicion::Suspect);
     CHECK(history.addedSince(0) == std::vector{lossOf("w1", {"a"})});
+    CHECK(history.add(lossOf("w3", {"c", "b", "c"}), Milliseconds{2}));
+    CHECK(history.suspicion("c") == TaskSuspicion::Suspect);
     CHECK(history.addedSince(history.revision()).empty());
 }
 
--- a/test/correctness/CrashingTaskTest.cpp
+++ b/test/correctness/CrashingTaskTest.cpp
@@ -126,3 +126,28 @@
     REQUIRE(world.outcomes.contains("job"));
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Failed);
 }
+
+TEST_CASE("a run that a smaller capacity has no room for is not started", "[scheduler]")
+{
+    // Guards against starts beyond the capacity of an instance that does not guard it (LIMIT).
+    FleetSimulation world(1, {}, 1);
+    world.runTime = [](const std::string &) { return 900; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(50);
+    holder.submit(makeJob("first", 1), {}, Milliseconds{world.now});
+    world.run(100);
+    auto instances = world.known();
+    auto &report = instances.begin()->second;
+    const auto whole = report.capacity;
+    report.capacity.cpuMillicores = 20'000;
+    ++report.sequence;
+    holder.setInstances(instances, {{"worker-0", 1}}, Milliseconds{world.now});
+    holder.submit(makeJob("second", 1), {}, Milliseconds{world.now});
+    world.run(300);
+    CHECK(world.instances().begin()->second.running().size() == 1);
+    report.capacity = whole;
+    ++report.sequence;
+    holder.setInstances(instances, {{"worker-0", 1}}, Milliseconds{world.now});
+    world.run(350);
+    CHECK(world.instances().begin()->second.running().size() == 2);
+}
