--- a/src/InstanceOrders.h
+++ b/src/InstanceOrders.h
@@ -18,7 +18,7 @@
 {
     InstanceKey instance;
     std::string address;
-    std::uint64_t token = 0; ///< Fencing token of the cell's holder.
+    std::uint64_t token = 0; ///< Of the grant of the cell.
     /// Increases whenever the instance may have restarted, so that it refuses the orders that were
     /// meant for its earlier incarnations and arrive late.
     std::uint64_t session = 0;
@@ -29,6 +29,7 @@
     /// of one holder.
     [[nodiscard]] std::uint64_t fencingToken() const
     {
+        // Sessions beyond the limit are not told apart.
         constexpr unsigned SessionBits = 20;
         constexpr std::uint64_t MaxSession = (1U << SessionBits) - 1;
         return (token << SessionBits) + std::min(session, MaxSession);
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -27,7 +27,7 @@
     , m_report(std::move(report))
     , m_token(token)
     , m_session(session)
-    // Replies to an earlier session of the same id must not match.
+    // Replies to holds of an earlier incarnation must not match.
     , m_holdSerial(m_report.key.startTimeMs * SerialsPerIncarnation)
 {
 }
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -169,7 +169,7 @@
         bool isForeign = false;
         bool isStopInFlight = false;
         bool isExclusive = false; ///< No other run may start beside it.
-        std::uint64_t session = 0; ///< In which it was ordered; of a foreign run, the first known.
+        std::uint64_t session = 0; ///< In which it was ordered; 0 for a foreign run.
         /// A list has shown it, so it was started on the incarnation that is known.
         bool wasListed = false;
         /// When a reply or a list first showed that the run has started.
