Suspect no task for a planned leave or a pause, and start none that is at fault

What callers would see: a long job given up after two planned replacements of its instances, or after its holder stood still twice; and one more crash where the holder of a job, or the one that was offered its task, knew that it is at fault. An incarnation that was cut off once counted no later crash.

Cause: every end of all leases counted as a loss, also while the instance was draining or because its own holder had not renewed; a task at fault was only looked for at the end of a run; and losses were told apart by incarnation alone.

Change: a draining instance and a paused holder record no loss. A task at fault has no place, and its job fails with the loss that shows it. Losses are told apart by incarnation and tasks.

--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -26,7 +26,7 @@
     std::ranges::sort(loss.tasks);
     const auto repeated = std::ranges::unique(loss.tasks);
     loss.tasks.erase(repeated.begin(), repeated.end());
-    if (loss.tasks.empty() || !m_instances.insert(loss.instance).second)
+    if (loss.tasks.empty() || !m_known.insert(loss).second)
         return false;
     for (const auto &task : loss.tasks) {
         auto &record = m_tasks[task];
@@ -50,7 +50,7 @@
 {
     const auto loss = std::move(m_losses.front().loss);
     m_losses.pop_front();
-    m_instances.erase(loss.instance);
+    m_known.erase(loss);
     for (const auto &task : loss.tasks) {
         const auto it = m_tasks.find(task);
         it->second.lossesAlone -= loss.tasks.size() == 1 ? 1 : 0;
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -97,7 +97,8 @@
     CrashHistorySettings m_settings;
     std::uint64_t m_revision = 0;
     std::deque<Entry> m_losses; ///< By revision.
-    std::set<InstanceKey> m_instances; ///< Of m_losses.
+    /// Of m_losses. An incarnation that was cut off can be lost again with other tasks.
+    std::set<InstanceLoss> m_known;
     std::map<std::string, TaskRecord> m_tasks; ///< Of m_losses, by task name.
 };
 
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -176,6 +176,9 @@
 
 void LeasedInstance::recordLoss()
 {
+    // An instance that leaves as planned ends what it still runs, whatever that is.
+    if (m_report.state != InstanceState::Ready)
+        return;
     std::set<std::string> tasks;
     for (const auto &[key, run] : m_runs)
         tasks.insert(key.task);
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -205,7 +205,8 @@
     /// Whether the lease of a run may end later than the known clock says.
     [[nodiscard]] bool mayOutliveLease(const Run &run, Milliseconds now) const;
     void finish(std::map<RunKey, Run>::iterator it, RunEnd end, Milliseconds now);
-    /// The known incarnation is lost, with all runs that it may have.
+    /// The known incarnation is lost, with all runs that it may have. Does nothing if it was about
+    /// to leave.
     void recordLoss();
     void onEnds(const std::vector<EndedRun> &ended, Milliseconds now);
     void onRunning(const HoldReply &reply, Milliseconds now);
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -121,7 +121,7 @@
     m_health.remove(id);
 }
 
-void RunScheduler::onLoss(const InstanceLoss &loss, Milliseconds now)
+void RunScheduler::onLocalLoss(const InstanceLoss &loss, Milliseconds now)
 {
     if (!m_crashes.add(loss, now))
         return;
@@ -138,13 +138,17 @@
 void RunScheduler::addLosses(const std::vector<InstanceLoss> &losses, Milliseconds now)
 {
     for (const auto &loss : losses) {
-        if (!m_crashes.add(loss, now))
-            continue;
-        for (const auto &task : loss.tasks)
-            failIfAtFault(task, now);
+        if (m_crashes.add(loss, now))
+            failTasksAtFault(loss, now);
     }
 }
 
+void RunScheduler::failTasksAtFault(const InstanceLoss &loss, Milliseconds now)
+{
+    for (const auto &task : loss.tasks)
+        failIfAtFault(task, now);
+}
+
 void RunScheduler::failIfAtFault(const std::string &task, Milliseconds now)
 {
     if (m_crashes.suspicion(task) != TaskSuspicion::AtFault)
@@ -403,10 +407,13 @@
 void RunScheduler::collectResults(LeasedInstance &instance, Milliseconds now)
 {
     // The losses come first: they decide what follows the ends of the runs.
-    for (const auto &loss : instance.takeLosses())
-        onLoss(loss, now);
+    const auto losses = instance.takeLosses();
+    for (const auto &loss : losses)
+        onLocalLoss(loss, now);
     for (const auto &result : instance.takeResults())
         onRunResult(instance, result, now);
+    for (const auto &loss : losses)
+        failTasksAtFault(loss, now);
     for (const auto &notice : instance.takeNotices())
         addEvent(eventOf(notice, instance.report().key.id));
 }
@@ -464,10 +471,10 @@
             finish(jobId, {JobVerdict::Completed, "", 0}, now);
     } else if (outcome.isUnknown) {
         finish(jobId, {JobVerdict::Unknown, "cell-moved", 0}, now);
-    } else if (outcome.end == RunEnd::Failed) {
-        onTaskFailed(job, task, outcome.instance, outcome.key, now);
     } else if (task.suspicion == TaskSuspicion::AtFault) {
         finish(jobId, {JobVerdict::Failed, TaskAtFaultReason, 0}, now);
+    } else if (outcome.end == RunEnd::Failed) {
+        onTaskFailed(job, task, outcome.instance, outcome.key, now);
     } else if (task.runs >= job.rule.maxAttempts + ExtraRuns) {
         finish(jobId, {JobVerdict::Unknown, "task-lost-too-often", 0}, now);
     } else if (outcome.end == RunEnd::LeaseExpired) {
@@ -586,6 +593,9 @@
         if (hasResumed)
             instance.invalidate();
         instance.expireLeases(now);
+        // These leases have expired because this process has not renewed them.
+        if (hasResumed)
+            (void)instance.takeLosses();
         collectResults(instance, now);
     }
     if (hasResumed)
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -304,7 +304,9 @@
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
     void eraseInstance(const std::string &id);
-    void onLoss(const InstanceLoss &loss, Milliseconds now);
+    /// A held instance was lost.
+    void onLocalLoss(const InstanceLoss &loss, Milliseconds now);
+    void failTasksAtFault(const InstanceLoss &loss, Milliseconds now);
     /// Ends the job of a task that is at fault, also if a run of it goes on elsewhere.
     void failIfAtFault(const std::string &task, Milliseconds now);
     [[nodiscard]] LeasedInstance *find(const InstanceKey &key);
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -82,13 +82,15 @@
                                             const std::vector<std::string> &avoid,
                                             TaskSuspicion suspicion)
 {
+    if (suspicion == TaskSuspicion::AtFault)
+        return nullptr;
     Candidate *best = nullptr;
     std::pair<bool, double> bestScore; // Whether the task would not be alone, and the cost.
     for (auto &candidate : found) {
         const auto &id = candidate.instance->report().key.id;
         if (candidate.maxNewTasks == 0 || !step.demand.fitsInto(candidate.free)
             || std::ranges::find(avoid, id) != avoid.end()
-            || (suspicion >= TaskSuspicion::StrongSuspect && !candidate.isIdle))
+            || (suspicion == TaskSuspicion::StrongSuspect && !candidate.isIdle))
             continue;
         // Cost is compared in coarse steps, so that noise does not degrade the packing: among
         // instances of about equal speed, the one with the least remaining CPU is chosen.
--- a/test/correctness/CrashHistoryTest.cpp
+++ b/test/correctness/CrashHistoryTest.cpp
@@ -43,7 +43,9 @@
     CHECK(history.suspicion("a") == TaskSuspicion::Suspect);
     CHECK(history.addedSince(0) == std::vector{lossOf("w1", {"a"})});
     CHECK(history.add(lossOf("w3", {"c", "b", "c"}), Milliseconds{2}));
+    CHECK_FALSE(history.add(lossOf("w3", {"b", "c"}), Milliseconds{2}));
     CHECK(history.suspicion("c") == TaskSuspicion::Suspect);
+    CHECK(history.add(lossOf("w3", {"d"}), Milliseconds{3}));
     CHECK(history.addedSince(history.revision()).empty());
 }
 
--- a/test/correctness/CrashingTaskTest.cpp
+++ b/test/correctness/CrashingTaskTest.cpp
@@ -127,6 +127,51 @@
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Failed);
 }
 
+TEST_CASE("a task at fault is not started for another holder", "[crash]")
+{
+    // Guards against one more crash while the holder of the job has not heard of the others.
+    FleetSimulation world(4, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(50);
+    holder.addLosses({{{"other-1", 1'000}, {"job.0.0.0"}}, {{"other-2", 1'000}, {"job.0.0.0"}}},
+                     Milliseconds{world.now});
+    const auto job = makeJob("job", 1);
+    const RunOffer offer{
+        {"job", 3}, "queue", "payload", 0, job.steps.front(), {{{"job.0.0.0", 3}, {}}}, true};
+    CHECK(holder.startOffered(offer, "other", Milliseconds{world.now}).started.empty());
+}
+
+TEST_CASE("a task is not suspected for a planned leave or a pause of its holder", "[crash]")
+{
+    // Guards against jobs that are given up because their instances were replaced in turn.
+    const bool isPause = GENERATE(false, true);
+    CAPTURE(isPause);
+    FleetSimulation world(2, {}, 1);
+    world.runTime = [](const std::string &) { return 3'000; };
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.run(50);
+    holder.submit(makeJob("job", 1), {}, Milliseconds{world.now});
+    world.run(100);
+    if (isPause) {
+        world.paused.insert(&holder);
+        world.run(2'500);
+        world.paused.clear();
+    } else {
+        auto instances = world.known();
+        std::map<std::string, std::uint64_t> tokens;
+        for (auto &[id, report] : instances) {
+            report.state = InstanceState::Draining;
+            ++report.sequence;
+            tokens[id] = 1;
+        }
+        holder.setInstances(instances, tokens, Milliseconds{world.now});
+        for (const auto &[id, report] : instances)
+            world.restartInstance(id);
+    }
+    world.run(world.now + 2'000);
+    CHECK(holder.takeLosses().empty());
+}
+
 TEST_CASE("a run that a smaller capacity has no room for is not started", "[scheduler]")
 {
     // Guards against starts beyond the capacity of an instance that does not guard it (LIMIT).
