Answer a job as unknown, not failed, for instances that were lost under it

Cause: an instance that was only cut off counts as lost too, and two losses, one of them alone, failed the job.

Change: the job ends as unknown, with the same reason; what a loss teaches is not changed, so no holder starts the task again. A crash that is told from a cut for certain could be answered as failed; that is open.

--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -19,8 +19,9 @@
 constexpr Milliseconds MaxRoutineWait{25};
 /// Minimum retry delay for refused callers.
 constexpr std::uint32_t MinRetryMs = 500;
-/// Why a job has failed under whose task instances were lost.
-constexpr const char *TaskAtFaultReason = "task-crashes-instances";
+/// The outcome of a job whose task is at fault. Not a failure of the job: a loss may also be a cut
+/// of the instance, on which the task went on.
+JobOutcome taskAtFault() { return {JobVerdict::Unknown, "task-crashes-instances", 0}; }
 
 /// Whether an instance currently serves a service, under any holder.
 bool servesNow(const InstanceReport &report, const std::string &service)
@@ -139,17 +140,17 @@
 {
     for (const auto &loss : losses) {
         if (m_crashes.add(loss, now))
-            failTasksAtFault(loss, now);
+            endJobsAtFault(loss, now);
     }
 }
 
-void RunScheduler::failTasksAtFault(const InstanceLoss &loss, Milliseconds now)
+void RunScheduler::endJobsAtFault(const InstanceLoss &loss, Milliseconds now)
 {
     for (const auto &task : loss.tasks)
-        failIfAtFault(task, now);
+        endJobIfAtFault(task, now);
 }
 
-void RunScheduler::failIfAtFault(const std::string &task, Milliseconds now)
+void RunScheduler::endJobIfAtFault(const std::string &task, Milliseconds now)
 {
     if (m_crashes.suspicion(task) != TaskSuspicion::AtFault)
         return;
@@ -161,7 +162,7 @@
     const bool isOpen = place->step < tasks.size() && place->index < tasks[place->step].size()
         && tasks[place->step][place->index].state != Task::State::Done;
     if (isOpen)
-        finish(place->jobId, {JobVerdict::Failed, TaskAtFaultReason, 0}, now);
+        finish(place->jobId, taskAtFault(), now);
 }
 
 void RunScheduler::addEvent(ScheduleEvent event) { m_events.push_back(std::move(event)); }
@@ -234,7 +235,7 @@
     }
     // An earlier submission of the job, maybe at another holder, has shown this.
     if (m_crashes.highestSuspicion(job.id + '.') == TaskSuspicion::AtFault) {
-        m_results.push_back({key, {JobVerdict::Failed, TaskAtFaultReason, 0}});
+        m_results.push_back({key, taskAtFault()});
         return key;
     }
     const auto *rule = m_configuration ? m_configuration->find(job.queue) : nullptr;
@@ -413,7 +414,7 @@
     for (const auto &result : instance.takeResults())
         onRunResult(instance, result, now);
     for (const auto &loss : losses)
-        failTasksAtFault(loss, now);
+        endJobsAtFault(loss, now);
     for (const auto &notice : instance.takeNotices())
         addEvent(eventOf(notice, instance.report().key.id));
 }
@@ -472,7 +473,7 @@
     } else if (outcome.isUnknown) {
         finish(jobId, {JobVerdict::Unknown, "cell-moved", 0}, now);
     } else if (task.suspicion == TaskSuspicion::AtFault) {
-        finish(jobId, {JobVerdict::Failed, TaskAtFaultReason, 0}, now);
+        finish(jobId, taskAtFault(), now);
     } else if (outcome.end == RunEnd::Failed) {
         onTaskFailed(job, task, outcome.instance, outcome.key, now);
     } else if (task.runs >= job.rule.maxAttempts + ExtraRuns) {
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -306,9 +306,9 @@
     void eraseInstance(const std::string &id);
     /// A held instance was lost.
     void onLocalLoss(const InstanceLoss &loss, Milliseconds now);
-    void failTasksAtFault(const InstanceLoss &loss, Milliseconds now);
+    void endJobsAtFault(const InstanceLoss &loss, Milliseconds now);
     /// Ends the job of a task that is at fault, also if a run of it goes on elsewhere.
-    void failIfAtFault(const std::string &task, Milliseconds now);
+    void endJobIfAtFault(const std::string &task, Milliseconds now);
     [[nodiscard]] LeasedInstance *find(const InstanceKey &key);
     /// The job of this submission, or null if it has ended.
     [[nodiscard]] Job *find(const JobKey &key);
