--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -48,6 +48,8 @@
         return LogEvent::InstanceRestarted;
     case ScheduleEvent::Kind::InstanceLost:
         return LogEvent::InstanceLost;
+    case ScheduleEvent::Kind::Abandoned:
+        return LogEvent::RunAbandoned;
     }
     return LogEvent::RunEnded;
 }
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -21,6 +21,19 @@
 
 } // namespace
 
+const char *abandonReasonName(AbandonReason reason)
+{
+    switch (reason) {
+    case AbandonReason::Unwanted:
+        return "unwanted";
+    case AbandonReason::Stalled:
+        return "stalled";
+    case AbandonReason::Unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
 LeasedInstance::LeasedInstance(InstanceReport report, std::uint64_t token,
                                const LeaseSettings &settings, std::uint64_t session)
     : m_settings(settings)
@@ -218,13 +231,15 @@
     return {target(), std::move(key), payload, extendLease(now)};
 }
 
-void LeasedInstance::abandon(const RunKey &key, Milliseconds now)
+void LeasedInstance::abandon(const RunKey &key, AbandonReason reason, Milliseconds now)
 {
     const auto it = m_runs.find(key);
     if (it == m_runs.end() || it->second.phase == Phase::Abandoned)
         return;
     it->second.phase = Phase::Abandoned;
     it->second.nextStopAt = now;
+    m_notices.push_back(
+        {InstanceNotice::Kind::Abandoned, key, 0, reason, now - it->second.startedAt});
 }
 
 std::vector<StopOrder> LeasedInstance::nextStops(Milliseconds now)
@@ -468,7 +483,7 @@
         // The order may still be carried out; only a stop ensures that it is not.
         if (run.unansweredAt && *run.unansweredAt <= m_holdSentAt) {
             it->second.unansweredAt.reset();
-            abandon(it->first, now);
+            abandon(it->first, AbandonReason::Unanswered, now);
         }
         if (!listed.contains(it->first) && (shouldBeListed || wasStopped))
             finish(it, wasStopped ? RunEnd::Stopped : RunEnd::LeaseExpired, now);
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -49,18 +49,30 @@
     auto operator<=>(const RunResult &) const = default;
 };
 
-/// Something that a report, reply or list has shown beside the runs of this holder, for the log.
+/// Why a run is to be stopped.
+enum class AbandonReason : std::uint8_t {
+    Unwanted, ///< Its job has ended, or nobody waits for it any longer.
+    Stalled, ///< It makes no progress.
+    Unanswered, ///< Its start order had no reply, and a list lacks it.
+};
+
+[[nodiscard]] const char *abandonReasonName(AbandonReason reason);
+
+/// Something about an instance beside the ends of this holder's runs, for the log.
 struct InstanceNotice
 {
     enum class Kind : std::uint8_t {
         Restarted, ///< A later incarnation is known.
         UnknownRun, ///< A list shows a run that this holder has not started, or has given up.
+        Abandoned, ///< A run is to be stopped.
     };
 
     Kind kind = Kind::Restarted;
-    RunKey run; ///< Of UnknownRun.
+    RunKey run; ///< Of UnknownRun and Abandoned.
     /// Of Restarted: number of runs that have ended with the former incarnation.
     std::size_t endedRuns = 0;
+    AbandonReason reason = AbandonReason::Unwanted; ///< Of Abandoned.
+    Milliseconds elapsed{0}; ///< Of Abandoned: time since the start order.
 
     auto operator<=>(const InstanceNotice &) const = default;
 };
@@ -109,7 +121,7 @@
                                    const ResourceVector &demand, Milliseconds expected,
                                    Milliseconds now, bool isExclusive = false);
     /// Abandons a run; nextStops() then orders its stop until the run has ended.
-    void abandon(const RunKey &key, Milliseconds now);
+    void abandon(const RunKey &key, AbandonReason reason, Milliseconds now);
 
     [[nodiscard]] std::vector<StopOrder> nextStops(Milliseconds now);
     /// A run whose stop was acknowledged, or whose start was not, makes a hold urgent, which then
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -115,6 +115,7 @@
     RequestRefused,
     RequestsDropped,
     RoleChanged,
+    RunAbandoned,
     RunEndUnknown,
     RunEnded,
     RunStarted,
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -31,8 +31,19 @@
 
 ScheduleEvent eventOf(const InstanceNotice &notice, const std::string &instance)
 {
-    if (notice.kind == InstanceNotice::Kind::UnknownRun)
+    switch (notice.kind) {
+    case InstanceNotice::Kind::UnknownRun:
         return {ScheduleEvent::Kind::UnknownRun, {}, notice.run, instance, "listed"};
+    case InstanceNotice::Kind::Abandoned:
+        return {ScheduleEvent::Kind::Abandoned,
+                {},
+                notice.run,
+                instance,
+                abandonReasonName(notice.reason),
+                notice.elapsed.count()};
+    case InstanceNotice::Kind::Restarted:
+        break;
+    }
     return {ScheduleEvent::Kind::InstanceRestarted, {}, {}, instance, "later-incarnation",
             static_cast<double>(notice.endedRuns)};
 }
@@ -301,7 +312,7 @@
             }
             const auto it = m_instances.find(task.instance);
             if (it != m_instances.end())
-                it->second.abandon(key, now);
+                it->second.abandon(key, AbandonReason::Unwanted, now);
         }
     }
     for (auto &[holder, request] : remote) {
@@ -447,6 +458,14 @@
         onAcceptedRunEnd(outcome, now);
     else if (const auto ref = findTask(result.key))
         onTaskEnd(*ref, outcome, now);
+    else // An abandoned run of a job that has ended.
+        addEvent({ScheduleEvent::Kind::Ended,
+                  {},
+                  result.key,
+                  outcome.instance,
+                  runEndName(result.end),
+                  outcome.elapsedMs,
+                  result.end});
 }
 
 void RunScheduler::onTaskEnd(const TaskRef &ref, const RunOutcome &outcome, Milliseconds now)
@@ -568,7 +587,7 @@
         for (const auto &key : instance.stalledRuns(m_settings.stallTimeout)) {
             addEvent({ScheduleEvent::Kind::Stalled, {}, key, id, "no-progress"});
             m_health.onFailed(id, now);
-            instance.abandon(key, now);
+            instance.abandon(key, AbandonReason::Stalled, now);
         }
     }
 }
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -73,6 +73,7 @@
         UnknownRun, ///< An instance lists a run that is not one of this holder's.
         InstanceRestarted,
         InstanceLost, ///< With the runs that it had.
+        Abandoned, ///< A run that is no longer wanted, or that counts as lost, is to be stopped.
     };
 
     Kind kind = Kind::Started;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -186,7 +186,7 @@
         if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, now);
+            instance.abandon(key, AbandonReason::Unwanted, now);
     }
 }
 
@@ -196,7 +196,7 @@
         if (!requesters.contains(run.requester))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, now);
+            instance.abandon(key, AbandonReason::Unwanted, now);
     }
 }
 
--- a/test/correctness/InstanceNoticeTest.cpp
+++ b/test/correctness/InstanceNoticeTest.cpp
@@ -5,6 +5,27 @@
 
 using namespace Camphor;
 
+TEST_CASE("a run that is abandoned is reported once, with the first reason", "[leased][log]")
+{
+    // Guards against a run that goes on after its job has ended without a log line that shows when
+    // and why it was to be stopped.
+    InstanceReport report;
+    report.key = {"worker-1", 1'000};
+    report.capacity = {32'000, 1'000, 0};
+    LeasedInstance instance(report, 7, {});
+    const auto hold = instance.nextHold(Milliseconds{0});
+    REQUIRE(hold);
+    instance.onHoldReply(hold->serial, {OrderResult::Accepted, 50'000, 1'000, {}, {}},
+                         Milliseconds{0});
+    const RunKey key{"job.0.0.0", 1};
+    (void)instance.start(key, "payload", {}, Milliseconds{60}, Milliseconds{10});
+    instance.abandon(key, AbandonReason::Stalled, Milliseconds{50});
+    instance.abandon(key, AbandonReason::Unwanted, Milliseconds{60});
+    const InstanceNotice expected{InstanceNotice::Kind::Abandoned, key, 0, AbandonReason::Stalled,
+                                  Milliseconds{40}};
+    CHECK(instance.takeNotices() == std::vector{expected});
+}
+
 TEST_CASE("a run that its holder has not started, and a restart, are reported once",
           "[leased][log]")
 {
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -172,7 +172,7 @@
     const auto key = startAt(instance, "a.0.0.0", Milliseconds{10});
     instance.onStartReply(key, accepted(Milliseconds{11}), Milliseconds{11});
     REQUIRE(instance.nextHold(Milliseconds{11}));
-    instance.abandon(key, Milliseconds{50});
+    instance.abandon(key, AbandonReason::Unwanted, Milliseconds{50});
     REQUIRE(instance.nextStops(Milliseconds{50}).size() == 1);
     CHECK_FALSE(instance.nextHold(Milliseconds{51}));
     instance.onStopReply(key, accepted(Milliseconds{52}), Milliseconds{52});
