Add failing tests of jobs that are sent again beside their first submission

The model of the tests now loses stops, cuts holders off from instances and from each other, and lets callers send jobs again.

--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -25,6 +25,8 @@
     double slowClock = 0; ///< Fraction by which the instances' clocks are slower.
     double maxDelayMs = 2; ///< Maximum delay of each message; messages can overtake each other.
     double failingRuns = 0; ///< Share of runs that fail.
+    /// Share of stop orders that are neither carried out nor answered.
+    double lostStops = 0;
 };
 
 /// A simulated instance: leases on its own clock, fencing tokens, lists of ends, and rejected runs.
@@ -265,6 +267,11 @@
     /// Duration of each run of a task, and the resources that each run needs.
     std::function<double(const std::string &task)> runTime = [](const std::string &) { return 60; };
     ResourceVector demand{14'000, 64, 0};
+    /// Whether the network between a holder and an instance is cut: orders and replies are lost.
+    std::function<bool(const RunScheduler &holder, const std::string &instance)> isCut =
+        [](const RunScheduler &, const std::string &) { return false; };
+    /// Whether the network between the holders is cut: they hear nothing of each other.
+    bool areHoldersCut = false;
     /// Holders in this set are paused: they neither act nor receive replies.
     std::set<const RunScheduler *> paused;
     bool offersRuns = false; ///< Whether the holders exchange runs that do not fit.
@@ -335,7 +342,7 @@
                 deliverReply<Reply>(holder, onReply, reply);
             });
         };
-        if (m_down.contains(instance)) {
+        if (m_down.contains(instance) || isCut(holder, instance)) {
             replyAt(now + timeout, Reply{});
             return;
         }
@@ -350,8 +357,8 @@
         }
         const bool isLost = losesReply(instance);
         const double sentAt = now;
-        schedule(now + delay(), [=, this] {
-            if (m_down.contains(instance)) {
+        schedule(now + delay(), [=, this, &holder] {
+            if (m_down.contains(instance) || isCut(holder, instance)) {
                 replyAt(sentAt + timeout, Reply{});
                 return;
             }
@@ -376,7 +383,8 @@
     void replyToHold(RunScheduler &holder, const HoldOrder &order, double until)
     {
         auto &instance = m_instances.at(order.target.instance.id);
-        const bool isDown = m_down.contains(order.target.instance.id);
+        const bool isDown =
+            m_down.contains(order.target.instance.id) || isCut(holder, order.target.instance.id);
         auto reply = isDown ? HoldReply{} : instance.hold(order, now);
         if (reply.ended.empty() && now < until && reply.result == OrderResult::Accepted) {
             schedule(now + 1, [=, this, &holder] { replyToHold(holder, order, until); });
@@ -395,6 +403,17 @@
         });
     }
 
+    void loseStop(RunScheduler &holder, const StopOrder &order)
+    {
+        schedule(now + m_settings.lease.replyTimeout.minTimeout.count(), [this, &holder, order] {
+            deliverReply<OrderReply>(holder,
+                                     [this, &holder, order](OrderReply it) {
+                                         holder.onStopReply(order, it, Milliseconds{now});
+                                     },
+                                     {});
+        });
+    }
+
     void step(RunScheduler &holder)
     {
         const Milliseconds at{now};
@@ -407,6 +426,10 @@
                 });
         }
         for (const auto &order : holder.takeStops()) {
+            if (m_faults.lostStops > 0 && chance(m_faults.lostStops)) {
+                loseStop(holder, order);
+                continue;
+            }
             send<OrderReply>(
                 holder, order.target.instance.id,
                 [this, order] {
@@ -445,6 +468,8 @@
     void post(const RunScheduler &to, std::function<void()> action)
     {
         schedule(now + delay(), [this, &to, action = std::move(action)] {
+            if (areHoldersCut)
+                return;
             if (paused.contains(&to))
                 post(to, action);
             else
@@ -457,7 +482,8 @@
         const Milliseconds at{now};
         const auto address = addressOf(holder);
         for (const auto &other : m_holders) {
-            if (offersRuns && other.get() != &holder && !paused.contains(other.get()))
+            if (offersRuns && !areHoldersCut && other.get() != &holder
+                && !paused.contains(other.get()))
                 holder.onRequesterContact(addressOf(*other), at);
         }
         for (const auto &offer : holder.takeOffers(at)) {
--- /dev/null
+++ b/test/correctness/ResubmissionTest.cpp
@@ -0,0 +1,322 @@
+/// @file Two faults in a row must not let a job that was sent again run beside its first
+/// submission.
+#include "FleetModel.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace Camphor;
+using namespace Camphor::Testing;
+
+namespace {
+
+constexpr double ResendMs = 1'300; ///< After which callers send a job again.
+/// A message of a killed entry may be handled this long after it was sent.
+constexpr double MaxMessageAgeMs = 300;
+constexpr double ContactPeriodMs = 100;
+constexpr double FaultAtMs = 200;
+constexpr double EndMs = 6'000;
+
+FleetConfiguration makeConfiguration()
+{
+    QueueRule rule;
+    rule.name = "queue";
+    rule.service = "service";
+    rule.timeoutMs = 1'500;
+    rule.targetMs = 60;
+    rule.stretch = 1.6;
+    rule.maxAttempts = 3;
+    FleetConfiguration configuration;
+    configuration.version = 1;
+    configuration.queues.push_back(rule);
+    return configuration;
+}
+
+FleetJob makeJob(const std::string &id, std::uint32_t tasks)
+{
+    JobStep step;
+    step.taskCount = tasks;
+    step.demand = {14'000, 64, 0};
+    step.estimatedMs = 900;
+    return {id, "queue", "payload", {step}};
+}
+
+FleetFaults makeFaults(double lostStops)
+{
+    FleetFaults faults;
+    faults.slowClock = 0.02;
+    faults.lostStops = lostStops;
+    return faults;
+}
+
+/// Cells of three instances each. A job of an entry runs in the first one, beside another job whose
+/// runs keep the leases of the same instances renewed. The last cell gets the job again.
+class ResentJob
+{
+public:
+    explicit ResentJob(double lostStops = 0, std::size_t cells = 2, std::uint32_t tasks = 3)
+        : world(3 * cells, makeFaults(lostStops), 1)
+        , m_job(makeJob("job", tasks))
+    {
+        world.runTime = [](const std::string &) { return 4'000; };
+        for (std::size_t n = 0; n < cells; ++n)
+            holders.push_back(&world.addHolder(1, makeConfiguration(), 3 * n, 3));
+        world.run(30);
+        first().submit(makeJob("other", 4), {}, at());
+        world.run(50);
+        first().submit(m_job, "entry/1", at());
+    }
+
+    [[nodiscard]] Milliseconds at() const { return Milliseconds{world.now}; }
+    RunScheduler &first() { return *holders.front(); }
+    RunScheduler &last() { return *holders.back(); }
+
+    /// Plays until the time, with the entry in contact with the first holder until lastContactMs.
+    void play(double untilMs, double lastContactMs)
+    {
+        while (world.now < untilMs) {
+            if (world.now <= lastContactMs)
+                first().onRequesterContact("entry/1", at());
+            last().onRequesterContact("entry/2", at());
+            world.run(std::min(untilMs, world.now + ContactPeriodMs));
+        }
+    }
+
+    void resend() { last().submit(m_job, "entry/2", at()); }
+
+    FleetSimulation world;
+    std::vector<RunScheduler *> holders;
+
+private:
+    FleetJob m_job;
+};
+
+/// Entries that submit the jobs of their callers to three holders, and callers that send a job
+/// again when they have lost its entry or its entry has lost the holder.
+class GeneratedDay
+{
+public:
+    explicit GeneratedDay(std::uint64_t seed)
+        : world(9, makeFaults(seed % 3 == 0 ? 0.0 : 0.6), seed)
+        , m_random(seed)
+    {
+        world.runTime = [](const std::string &task) {
+            return 100.0 + static_cast<double>(std::hash<std::string>{}(task) % 3'000);
+        };
+        for (std::size_t n = 0; n < 3; ++n)
+            m_holders.push_back(&world.addHolder(1, makeConfiguration(), 3 * n, 3));
+        world.isCut = [this](const RunScheduler &holder, const std::string &) {
+            return m_cut == &holder;
+        };
+        world.run(50);
+    }
+
+    void play()
+    {
+        constexpr double FaultsUntilMs = 12'000;
+        constexpr double DayMs = 16'000;
+        while (world.now < DayMs) {
+            if (random(120) == 0)
+                submit("job" + std::to_string(++m_lastJob));
+            if (world.now < FaultsUntilMs)
+                causeFaults();
+            if (world.now >= m_faultEndsAt) {
+                m_cut = nullptr;
+                world.paused.clear();
+            }
+            sendMessages();
+            resendDue();
+            world.run(world.now + 1);
+        }
+    }
+
+    FleetSimulation world;
+    int resent = 0;
+
+private:
+    /// A job in progress, as its entry sees it.
+    struct Call
+    {
+        std::string job;
+        std::string requester; ///< The connection between its entry and the holder.
+        RunScheduler *holder = nullptr;
+    };
+
+    unsigned random(unsigned bound) { return static_cast<unsigned>(m_random() % bound); }
+    [[nodiscard]] Milliseconds at() const { return Milliseconds{world.now}; }
+    [[nodiscard]] bool isReachable(const RunScheduler *holder) const
+    {
+        return !world.paused.contains(holder);
+    }
+
+    void submit(const std::string &job)
+    {
+        auto *holder = m_holders[random(3)];
+        if (!isReachable(holder))
+            return;
+        const auto requester = "entry/" + std::to_string(++m_lastConnection);
+        holder->submit(makeJob(job, 1 + random(4)), requester, at());
+        m_calls.push_back({job, requester, holder});
+        if (m_calls.size() > MaxCalls)
+            m_calls.erase(m_calls.begin());
+    }
+
+    void resendAfter(const std::string &job, double delayMs)
+    {
+        m_resends.emplace(world.now + delayMs + ResendMs, job);
+    }
+
+    void causeFaults()
+    {
+        if (!m_calls.empty() && random(150) == 0)
+            loseCall(random(static_cast<unsigned>(m_calls.size())));
+        if (world.now < m_faultEndsAt || random(400) != 0)
+            return;
+        auto *holder = m_holders[random(3)];
+        m_faultEndsAt = world.now + 200 + random(2'000);
+        if (random(2) == 0)
+            m_cut = holder;
+        else
+            pause(*holder);
+    }
+
+    /// The entry is killed, or the caller's connection is reset.
+    void loseCall(std::size_t number)
+    {
+        const auto call = m_calls[number];
+        m_calls.erase(m_calls.begin() + static_cast<std::ptrdiff_t>(number));
+        if (random(2) == 0 && isReachable(call.holder))
+            call.holder->cancel(call.job, call.requester, at());
+        resendAfter(call.job, 0);
+    }
+
+    /// The entries lose a paused holder, and answer their callers.
+    void pause(RunScheduler &holder)
+    {
+        constexpr double HolderTimeoutMs = 600;
+        world.paused.insert(&holder);
+        for (const auto &call : m_calls) {
+            if (call.holder == &holder)
+                resendAfter(call.job, HolderTimeoutMs);
+        }
+        std::erase_if(m_calls, [&](const Call &it) { return it.holder == &holder; });
+    }
+
+    void sendMessages()
+    {
+        const bool isContactDue = std::fmod(world.now, ContactPeriodMs) < 1;
+        for (const auto &call : m_calls) {
+            if (isReachable(call.holder) && isContactDue)
+                call.holder->onRequesterContact(call.requester, at());
+        }
+    }
+
+    void resendDue()
+    {
+        while (!m_resends.empty() && m_resends.begin()->first <= world.now) {
+            const auto job = m_resends.begin()->second;
+            m_resends.erase(m_resends.begin());
+            ++resent;
+            submit(job);
+        }
+    }
+
+    static constexpr std::size_t MaxCalls = 12;
+
+    std::mt19937_64 m_random;
+    std::vector<RunScheduler *> m_holders;
+    std::vector<Call> m_calls;
+    std::multimap<double, std::string> m_resends;
+    const RunScheduler *m_cut = nullptr; ///< Cut off from all of its instances.
+    double m_faultEndsAt = 0;
+    int m_lastJob = 0;
+    int m_lastConnection = 0;
+};
+
+} // namespace
+
+TEST_CASE("a run whose stop goes unanswered ends before its job is sent again",
+          "[resubmission][!mayfail]")
+{
+    // Guards against a lease that is renewed without end for a run that nobody waits for, because
+    // other runs of the instance need it.
+    ResentJob play(1.0);
+    play.play(FaultAtMs, FaultAtMs);
+    play.first().cancel("job", "entry/1", play.at());
+    play.play(FaultAtMs + ResendMs, EndMs);
+    play.resend();
+    play.play(EndMs, EndMs);
+    CHECK(play.world.doubleRuns == 0);
+}
+
+TEST_CASE("the runs of a killed entry end in time on instances that are cut off from their holder",
+          "[resubmission][!mayfail]")
+{
+    // Guards against timeouts that add up: the holder renews the lease until it has lost the entry,
+    // and is then cut off from the instance.
+    const auto cutAfterMs = GENERATE(range(0, 1'300, 50));
+    CAPTURE(cutAfterMs);
+    ResentJob play;
+    const auto cutAtMs = FaultAtMs + cutAfterMs;
+    play.world.isCut = [&](const RunScheduler &holder, const std::string &) {
+        return &holder == &play.first() && play.world.now >= cutAtMs;
+    };
+    play.play(FaultAtMs + ResendMs, FaultAtMs + MaxMessageAgeMs);
+    play.resend();
+    play.play(EndMs, 0);
+    CHECK(play.world.doubleRuns == 0);
+}
+
+TEST_CASE("the runs of a killed entry end in time at a holder that is cut off from its requester",
+          "[resubmission][!mayfail]")
+{
+    // Guards against the same sum with one more holder in between: the first one offers runs to the
+    // second, and is cut off from it before it has lost the entry.
+    const auto cutAfterMs = GENERATE(range(0, 1'300, 100));
+    CAPTURE(cutAfterMs);
+    ResentJob play(0, 3, 7);
+    play.world.offersRuns = true;
+    play.play(FaultAtMs + cutAfterMs, FaultAtMs + MaxMessageAgeMs);
+    play.world.areHoldersCut = true;
+    play.play(FaultAtMs + ResendMs, FaultAtMs + MaxMessageAgeMs);
+    play.resend();
+    play.play(EndMs, 0);
+    CHECK(play.world.doubleRuns == 0);
+}
+
+TEST_CASE("runs of a former holder end in time although their stops go unanswered",
+          "[resubmission][!mayfail]")
+{
+    // Guards against a new holder that renews the lease of runs that it only wants to stop.
+    const auto takenOverAfterMs = GENERATE(50, 300, 600, 850);
+    CAPTURE(takenOverAfterMs);
+    ResentJob play(1.0);
+    play.play(FaultAtMs, FaultAtMs);
+    play.world.paused.insert(&play.first());
+    play.play(FaultAtMs + takenOverAfterMs, 0);
+    (void)play.world.addHolder(2, makeConfiguration(), 0, 3);
+    play.play(FaultAtMs + ResendMs, 0);
+    play.resend();
+    play.play(EndMs, 0);
+    CHECK(play.world.doubleRuns == 0);
+}
+
+TEST_CASE("no task runs twice under generated faults while callers send their jobs again",
+          "[resubmission][generated][!mayfail]")
+{
+    // Guards against pairs of faults that nobody has thought of: entries that are killed, callers
+    // whose connections are reset, holders that are paused or cut off from their instances, and
+    // stops without a reply, around tasks of up to three seconds.
+    const auto seed = GENERATE(range(1, 31));
+    CAPTURE(seed);
+    GeneratedDay day(static_cast<std::uint64_t>(seed));
+    day.play();
+    CHECK(day.world.doubleRuns == 0);
+    CHECK(day.resent > 0);
+}
