Renew no lease beyond what the requester of a run allows

Callers saw a job that they had sent again run beside its first submission: two bookings. Cause: the lease of an instance was renewed although one of its runs had lost the right to run. A lease is that of all runs of an instance, so each start or hold for other runs kept that one alive: while its stop went unanswered, without end; until the holder had lost the requester, whose timeout and the lease then added up (1,600 to 1,900 ms against the 1,300 ms after which callers resend); and at a new holder for the runs of the former one.

A lease is now renewed no further than renewalTimeout after the last contact with the requester of each run; a run that is to be stopped keeps its limit until its end is certain, and one of a former holder allows no renewal. Where a stop goes unanswered for that long, the other runs of the instance lapse, too, and start elsewhere. No new run starts where less than half a lease is left. So the runs end in time however many faults follow each other: the sum is computed in ResubmissionTimeouts, which refuses settings for which it does not hold.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -16,6 +16,8 @@
 /// After this many consecutive missing replies, nothing is started until the instance replies.
 constexpr int MaxMissedReplies = 1;
 constexpr std::uint64_t SerialsPerIncarnation = 1'024;
+/// Share of a lease that must be left for new runs where an abandoned run limits its renewal.
+constexpr double MinLeaseShare = 0.5;
 /// Delay of new starts after an instance unexpectedly had no room.
 constexpr Milliseconds NoRoomDelay{20};
 
@@ -91,7 +93,7 @@
 {
     return isSynced() && !m_isFenced && !m_isOtherIncarnation && !m_isReportOutdated && m_clockMs
         && m_report.state == InstanceState::Ready && m_missedReplies < MaxMissedReplies
-        && now >= m_backoffUntil;
+        && now >= m_backoffUntil && abandonedLimit() - now >= m_settings.lease * MinLeaseShare;
 }
 
 std::size_t LeasedInstance::runsWithPrefix(const std::string &prefix) const
@@ -127,11 +129,22 @@
     m_clockAt = now;
 }
 
-std::uint64_t LeasedInstance::extendLease(Milliseconds now)
+Milliseconds LeasedInstance::abandonedLimit() const
 {
-    const auto until = std::floor(clockAt(now) + m_settings.lease.count());
-    m_leaseUntilMs = std::max(m_leaseUntilMs, until);
-    return static_cast<std::uint64_t>(until);
+    auto limit = NoRenewalLimit;
+    for (const auto &[key, run] : m_runs)
+        limit = std::min(limit, run.renewalLimit);
+    return limit;
+}
+
+double LeasedInstance::renewableUntil(Milliseconds now, Milliseconds renewalLimit) const
+{
+    const auto limit = std::min(renewalLimit, abandonedLimit());
+    // The instance must have passed the limit on its clock even if that is slow.
+    const auto clockAtLimit =
+        *m_clockMs + (limit - m_clockAt).count() * (1.0 - m_settings.clockDrift);
+    const auto until = std::min(clockAt(now) + m_settings.lease.count(), clockAtLimit);
+    return std::max(0.0, std::floor(until));
 }
 
 void LeasedInstance::expireLeases(Milliseconds now)
@@ -217,7 +230,7 @@
 
 StartOrder LeasedInstance::start(RunKey key, const std::string &payload,
                                  const ResourceVector &demand, Milliseconds expected,
-                                 Milliseconds now, bool isExclusive)
+                                 Milliseconds now, bool isExclusive, Milliseconds renewalLimit)
 {
     CAMPHOR_ASSERT(isUsable(now));
     Run run;
@@ -228,13 +241,19 @@
     run.expectedEnd = now + expected;
     m_used += demand;
     m_runs.emplace(key, run);
-    return {target(), std::move(key), payload, extendLease(now)};
+    const auto until = renewableUntil(now, renewalLimit);
+    m_leaseUntilMs = std::max(m_leaseUntilMs, until);
+    return {target(), std::move(key), payload, static_cast<std::uint64_t>(until)};
 }
 
-void LeasedInstance::abandon(const RunKey &key, AbandonReason reason, Milliseconds now)
+void LeasedInstance::abandon(const RunKey &key, AbandonReason reason, Milliseconds now,
+                             Milliseconds renewalLimit)
 {
     const auto it = m_runs.find(key);
-    if (it == m_runs.end() || it->second.phase == Phase::Abandoned)
+    if (it == m_runs.end())
+        return;
+    it->second.renewalLimit = std::min(it->second.renewalLimit, renewalLimit);
+    if (it->second.phase == Phase::Abandoned)
         return;
     it->second.phase = Phase::Abandoned;
     it->second.nextStopAt = now;
@@ -257,16 +276,21 @@
     return orders;
 }
 
-std::optional<HoldOrder> LeasedInstance::nextHold(Milliseconds now)
+bool LeasedInstance::needsHold(Milliseconds now) const
 {
     if (m_isFenced || m_isOtherIncarnation || (m_isHoldInFlight && !isHoldOutdated()))
-        return std::nullopt;
+        return false;
     // A single lost reply does not delay the next hold, whose list shows what has ended meanwhile.
     if (now < m_backoffUntil && m_missedReplies > 1)
-        return std::nullopt;
+        return false;
     const bool hasOldEnds =
         m_processedThrough > m_ackedThrough && now - m_firstUnackedAt >= m_settings.idleAckDelay;
-    if (m_isSynced && m_runs.empty() && !hasOldEnds)
+    return !m_isSynced || !m_runs.empty() || hasOldEnds;
+}
+
+std::optional<HoldOrder> LeasedInstance::nextHold(Milliseconds now, Milliseconds renewalLimit)
+{
+    if (!needsHold(now))
         return std::nullopt;
     const bool isUncertain = std::ranges::any_of(
         m_runs, [](const auto &it) { return it.second.phase == Phase::Abandoned; });
@@ -279,7 +303,11 @@
     if (m_isSynced && !m_runs.empty()) {
         const auto wait = isUncertain ? m_settings.uncertainHoldWait : m_settings.holdWait;
         order.waitMs = isUnanswered ? 0 : static_cast<std::uint32_t>(wait.count());
-        order.leaseUntilMs = extendLease(now);
+        const auto until = renewableUntil(now, renewalLimit);
+        if (until > m_leaseUntilMs) {
+            m_leaseUntilMs = until;
+            order.leaseUntilMs = static_cast<std::uint64_t>(until);
+        }
     }
     m_isHoldInFlight = true;
     m_holdSentAt = now;
@@ -443,14 +471,14 @@
             Run run;
             run.phase = Phase::Abandoned;
             run.isForeign = true;
-            run.startedAt = run.expectedEnd = run.nextStopAt = now;
+            run.startedAt = run.expectedEnd = run.nextStopAt = run.renewalLimit = now;
             ++m_foreignRuns;
             m_notices.push_back({InstanceNotice::Kind::UnknownRun, row.key, 0});
             it = m_runs.emplace(row.key, run).first;
-            // The lease that this run was started under is unknown; a lease of this holder bounds
-            // it from now on.
+            // The lease that this run was started under is unknown.
             if (m_clockMs)
-                (void)extendLease(now);
+                m_leaseUntilMs =
+                    std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
         }
         auto &run = it->second;
         if (run.phase == Phase::Starting)
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +40,9 @@
     auto operator<=>(const LeaseSettings &) const = default;
 };
 
+/// A renewal limit that limits nothing.
+constexpr Milliseconds NoRenewalLimit{1e18};
+
 /// How a run ended, for the scheduler.
 struct RunResult
 {
@@ -115,18 +119,30 @@
     /// Whether a run is here beside which no other may start.
     [[nodiscard]] bool hasExclusiveRun() const;
 
+    /// The runs that are here, the abandoned ones included.
+    [[nodiscard]] auto runKeys() const { return m_runs | std::views::keys; }
+
     /// Records a run and returns the order to send. Requires isUsable().
     /// @param isExclusive whether hasExclusiveRun() is to be true while the run is here.
+    /// @param renewalLimit the order must not renew the lease beyond this time.
     [[nodiscard]] StartOrder start(RunKey key, const std::string &payload,
                                    const ResourceVector &demand, Milliseconds expected,
-                                   Milliseconds now, bool isExclusive = false);
+                                   Milliseconds now, bool isExclusive = false,
+                                   Milliseconds renewalLimit = NoRenewalLimit);
     /// Abandons a run; nextStops() then orders its stop until the run has ended.
-    void abandon(const RunKey &key, AbandonReason reason, Milliseconds now);
+    /// @param renewalLimit until the run has ended, no order renews the lease beyond this time. The
+    /// lease is that of all runs, so the others expire too if the stop goes unanswered.
+    void abandon(const RunKey &key, AbandonReason reason, Milliseconds now,
+                 Milliseconds renewalLimit = NoRenewalLimit);
 
     [[nodiscard]] std::vector<StopOrder> nextStops(Milliseconds now);
     /// A run whose stop was acknowledged, or whose start was not, makes a hold urgent, which then
     /// replaces the one in flight.
-    [[nodiscard]] std::optional<HoldOrder> nextHold(Milliseconds now);
+    /// @param renewalLimit as for start().
+    [[nodiscard]] std::optional<HoldOrder> nextHold(Milliseconds now,
+                                                    Milliseconds renewalLimit = NoRenewalLimit);
+    /// Whether nextHold() returns an order.
+    [[nodiscard]] bool needsHold(Milliseconds now) const;
     /// When nextStops() or nextHold() may return an order without a new event.
     [[nodiscard]] Milliseconds nextDeadline(Milliseconds now) const;
 
@@ -191,6 +207,7 @@
         std::optional<Milliseconds> unansweredAt;
         std::optional<Milliseconds> stopAckedAt;
         Milliseconds nextStopAt; ///< No stop order is sent before.
+        Milliseconds renewalLimit = NoRenewalLimit; ///< Of an abandoned run.
         std::uint32_t percent = 0;
         Milliseconds progressAt; ///< When a list last showed a different percentage.
         Milliseconds listedAt; ///< When it was last listed.
@@ -201,7 +218,10 @@
         return {m_report.key, m_report.address, m_token, m_session};
     }
     [[nodiscard]] double clockAt(Milliseconds now) const;
-    [[nodiscard]] std::uint64_t extendLease(Milliseconds now);
+    /// The earliest renewal limit of the abandoned runs.
+    [[nodiscard]] Milliseconds abandonedLimit() const;
+    /// Until when the next order may renew the lease, on the instance's clock.
+    [[nodiscard]] double renewableUntil(Milliseconds now, Milliseconds renewalLimit) const;
     void updateClock(const std::optional<double> &clockMs, Milliseconds now);
     void onReplyResult(OrderResult result, Milliseconds now);
     /// Begins a session: the instance may have restarted, or another holder may have had it.
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -297,6 +297,37 @@
         m_requesters[requester] = now;
 }
 
+Milliseconds RunScheduler::lastWantedAt(const std::string &requester, Milliseconds now) const
+{
+    const auto it = m_requesters.find(requester);
+    return it == m_requesters.end() ? now : it->second;
+}
+
+Milliseconds RunScheduler::renewalLimit(const std::string &requester, Milliseconds now) const
+{
+    return lastWantedAt(requester, now) + m_settings.renewalTimeout;
+}
+
+Milliseconds RunScheduler::renewalLimit(const LeasedInstance &instance, Milliseconds now) const
+{
+    auto limit = NoRenewalLimit;
+    for (const auto &key : instance.runKeys()) {
+        if (const auto *requester = requesterOf(key))
+            limit = std::min(limit, renewalLimit(*requester, now));
+    }
+    return limit;
+}
+
+const std::string *RunScheduler::requesterOf(const RunKey &key) const
+{
+    const auto accepted = m_acceptedRuns.find(key);
+    if (accepted != m_acceptedRuns.end())
+        return &accepted->second.requester;
+    const auto place = parseTaskName(key.task);
+    const auto job = place ? m_jobs.find(place->jobId) : m_jobs.end();
+    return job == m_jobs.end() ? nullptr : &job->second.requester;
+}
+
 void RunScheduler::abandonRuns(Job &job, Milliseconds now)
 {
     std::map<std::string, StopRunsRequest> remote;
@@ -312,7 +343,8 @@
             }
             const auto it = m_instances.find(task.instance);
             if (it != m_instances.end())
-                it->second.abandon(key, AbandonReason::Unwanted, now);
+                it->second.abandon(key, AbandonReason::Unwanted, now,
+                                   renewalLimit(job.requester, now));
         }
     }
     for (auto &[holder, request] : remote) {
@@ -541,8 +573,6 @@
     }
     if (lost.empty())
         return;
-    for (const auto &requester : lost)
-        m_requesters.erase(requester);
     stopAcceptedRuns(lost, now);
     std::vector<std::string> orphans;
     for (const auto &[id, job] : m_jobs) {
@@ -554,6 +584,8 @@
         // A requester that was only slow must still receive an outcome.
         finish(id, {JobVerdict::Unknown, "requester-lost", 0}, now);
     }
+    for (const auto &requester : lost)
+        m_requesters.erase(requester);
 }
 
 void RunScheduler::onPause(Milliseconds duration, Milliseconds now)
@@ -636,7 +668,9 @@
     m_crashes.evict(now);
     for (auto &[id, instance] : m_instances) {
         std::ranges::move(instance.nextStops(now), std::back_inserter(m_stops));
-        if (auto order = instance.nextHold(now))
+        if (!instance.needsHold(now))
+            continue;
+        if (auto order = instance.nextHold(now, renewalLimit(instance, now)))
             m_holds.push_back(std::move(*order));
     }
     m_dueAt = nextDeadline(now);
@@ -653,6 +687,8 @@
         if (!job.hasStarted && !job.isOffered)
             deadline = std::min(deadline, job.startDeadline);
     }
+    for (const auto &[requester, lastContactAt] : m_requesters)
+        deadline = std::min(deadline, lastContactAt + m_settings.requesterTimeout);
     return std::max(deadline, now);
 }
 
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -33,6 +33,9 @@
     /// A requester without contact for this long is lost, and its jobs are stopped. Must be shorter
     /// than the time after which callers resend.
     Milliseconds requesterTimeout{700};
+    /// No lease is renewed beyond this time after the last contact with the requester of one of its
+    /// runs. Longer than requesterTimeout, so that there is time to stop the runs.
+    Milliseconds renewalTimeout{900};
     /// A run without progress for this long that has also taken more than twice its expected time
     /// is started elsewhere.
     Milliseconds stallTimeout{400};
@@ -281,6 +284,15 @@
     [[nodiscard]] std::vector<std::string> jobsInStartOrder() const;
     void refuseLateJobs(Milliseconds now);
     void removeLostRequesters(Milliseconds now);
+    /// When a requester was last known to wait for its jobs; now for callers of this entry.
+    [[nodiscard]] Milliseconds lastWantedAt(const std::string &requester, Milliseconds now) const;
+    /// Until when the runs of a requester may go on without another sign of it. Its callers may
+    /// send their jobs to other holders later, so nothing renews a lease beyond this time.
+    [[nodiscard]] Milliseconds renewalLimit(const std::string &requester, Milliseconds now) const;
+    /// The earliest such time of the runs of an instance.
+    [[nodiscard]] Milliseconds renewalLimit(const LeasedInstance &instance, Milliseconds now) const;
+    /// The requester of a run, or null if its job has ended.
+    [[nodiscard]] const std::string *requesterOf(const RunKey &key) const;
     /// This process was paused: the requesters have given up meanwhile, and the lists are outdated.
     void onPause(Milliseconds duration, Milliseconds now);
     void storeOutcome(const std::string &jobId, const JobOutcome &outcome, Milliseconds now);
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -162,7 +162,8 @@
     for (const auto &[key, instance, isExclusive] : placed) {
         const auto &id = instance->report().key.id;
         m_starts.push_back(instance->start(key, offer.payload, offer.step.demand,
-                                           estimate * m_health.slowdown(id), now, isExclusive));
+                                           estimate * m_health.slowdown(id), now, isExclusive,
+                                           renewalLimit(*instance, now)));
         m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step};
         addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id, "accepted-offer", 0});
         started.push_back(key);
@@ -186,7 +187,7 @@
         if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now);
+            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(requester, now));
     }
 }
 
@@ -196,7 +197,7 @@
         if (!requesters.contains(run.requester))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now);
+            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(run.requester, now));
     }
 }
 
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -180,8 +180,9 @@
     const RunKey key{taskName(job.job.id, step, index), task.runs};
     chargeQueue(job.rule.name, jobStep, expected);
     const bool isExclusive = suspicionOf(job, step, index) != TaskSuspicion::None;
+    const auto limit = std::min(renewalLimit(instance, now), renewalLimit(job.requester, now));
     m_starts.push_back(
-        instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive));
+        instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive, limit));
     addEvent(
         {ScheduleEvent::Kind::Started, job.job.id, key, id, "room", (now - job.arrivedAt).count()});
 }
--- a/test/correctness/PlatformSettingsTest.cpp
+++ b/test/correctness/PlatformSettingsTest.cpp
@@ -29,6 +29,11 @@
     CHECK(scheduler.lease.maxLease.count() == longestLeaseMs);
     // What a requester sent before it gave up may be read this much later.
     CHECK(scheduler.requesterTimeout.count() + entry.maxRequestAge.count() < resendMs);
+    // It may be the last contact after which a holder renews leases, however late the runs are
+    // stopped.
+    CHECK(scheduler.renewalTimeout.count() + entry.maxRequestAge.count() < resendMs);
+    CHECK(scheduler.lease.lease.count() * slowClock + entry.maxRequestAge.count() < resendMs);
+    CHECK(scheduler.requesterTimeout < scheduler.renewalTimeout);
     // A requester must treat its holder as lost first: it must not wait for a job that the holder
     // has stopped.
     CHECK(entry.link.contactTimeout < scheduler.requesterTimeout);
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -1,6 +1,7 @@
 /// @file Two faults in a row must not let a job that was sent again run beside its first
 /// submission.
 #include "FleetModel.h"
+#include "ResubmissionTimeouts.h"
 
 #include <catch2/catch.hpp>
 
@@ -241,8 +242,7 @@
 
 } // namespace
 
-TEST_CASE("a run whose stop goes unanswered ends before its job is sent again",
-          "[resubmission][!mayfail]")
+TEST_CASE("a run whose stop goes unanswered ends before its job is sent again", "[resubmission]")
 {
     // Guards against a lease that is renewed without end for a run that nobody waits for, because
     // other runs of the instance need it.
@@ -256,7 +256,7 @@
 }
 
 TEST_CASE("the runs of a killed entry end in time on instances that are cut off from their holder",
-          "[resubmission][!mayfail]")
+          "[resubmission]")
 {
     // Guards against timeouts that add up: the holder renews the lease until it has lost the entry,
     // and is then cut off from the instance.
@@ -291,7 +291,7 @@
 }
 
 TEST_CASE("runs of a former holder end in time although their stops go unanswered",
-          "[resubmission][!mayfail]")
+          "[resubmission]")
 {
     // Guards against a new holder that renews the lease of runs that it only wants to stop.
     const auto takenOverAfterMs = GENERATE(50, 300, 600, 850);
@@ -308,7 +308,7 @@
 }
 
 TEST_CASE("no task runs twice under generated faults while callers send their jobs again",
-          "[resubmission][generated][!mayfail]")
+          "[resubmission][generated]")
 {
     // Guards against pairs of faults that nobody has thought of: entries that are killed, callers
     // whose connections are reset, holders that are paused or cut off from their instances, and
@@ -320,3 +320,24 @@
     CHECK(day.world.doubleRuns == 0);
     CHECK(day.resent > 0);
 }
+
+TEST_CASE("timeouts that are derived from the settings end all runs before a resubmission",
+          "[resubmission]")
+{
+    // Guards against a sum of timeouts that only holds for one set of settings.
+    const auto resendMs = GENERATE(100.0, 600.0, 1'300.0, 5'000.0);
+    const auto maxLeaseMs = GENERATE(50.0, 1'000.0, 60'000.0);
+    CAPTURE(resendMs, maxLeaseMs);
+    const ResubmissionSettings settings{Milliseconds{resendMs}, Milliseconds{maxLeaseMs}, 0.02};
+    const auto made = ResubmissionTimeouts::make(settings);
+    REQUIRE(made);
+    CHECK(made.value().latestRunEnd().count() < resendMs);
+    CHECK(made.value().holderTimeout() < made.value().requesterTimeout());
+    CHECK(made.value().requesterTimeout() < made.value().renewalTimeout());
+    CHECK(made.value().lease().count() < maxLeaseMs);
+}
+
+TEST_CASE("timeouts are refused if an instance's clock is too slow for them", "[resubmission]")
+{
+    CHECK_FALSE(ResubmissionTimeouts::make({Milliseconds{1'300}, Milliseconds{10'000}, 0.2}));
+}
