Pass the last contact with a requester on to the holder that runs its tasks

A holder that had accepted runs renewed their lease as long as it heard of the holder that had the job, which itself noticed only after 700 ms that the entry was gone. Cut off from each other at that moment, the runs went on for up to two seconds after the entry, and the caller's second submission ran beside them.

An offer, and each ping to a holder with accepted runs, now carries how long ago the requester of each job was last in contact (RequesterAges), and the accepting holder renews leases no further than that allows. Such pings are sent also while other calls show that the holder is alive.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -113,6 +113,10 @@
         return server.error();
     m_rpc = std::move(server).value();
     m_link = std::make_shared<HolderLink>(m_io, rpc, m_settings.link);
+    m_link->setPingPayload([weak = weak_from_this()](const std::string &address) {
+        const auto self = weak.lock();
+        return self ? self->pingPayload(address) : std::string();
+    });
     HolderChoice &choice = *this;
     m_offers = std::make_shared<RunOfferClient>(m_scheduler, m_link, choice, m_settings.maxOffers,
                                                 [weak = weak_from_this()] {
@@ -460,7 +464,7 @@
     m_scheduler.onRequesterContact(requester, m_clock.now());
     switch (kind) {
     case MessageKind::Ping:
-        return reply(std::string());
+        return onPing(requester, payload, reply);
     case MessageKind::SubmitJob:
         return onSubmit(requester, payload, reply);
     case MessageKind::CancelJob: {
@@ -481,6 +485,24 @@
     }
 }
 
+std::string FleetEntry::pingPayload(const std::string &address) const
+{
+    const auto ages = m_scheduler.requesterAges(address, m_clock.now());
+    return ages.jobs.empty() ? std::string() : encodeMessage(ages);
+}
+
+void FleetEntry::onPing(const std::string &requester, const std::string &payload,
+                        const RpcReply &reply)
+{
+    if (!payload.empty()) {
+        const auto ages = decodeOrReject<RequesterAges>(payload, reply);
+        if (!ages)
+            return;
+        m_scheduler.onRequesterAges(requester, *ages, m_clock.now());
+    }
+    reply(std::string());
+}
+
 void FleetEntry::onOfferRuns(const std::string &requester, const std::string &payload,
                              const RpcReply &reply)
 {
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -160,6 +160,9 @@
     void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
+    /// The requesters of the jobs with runs at another holder, for it; empty if there are none.
+    [[nodiscard]] std::string pingPayload(const std::string &address) const;
+    void onPing(const std::string &requester, const std::string &payload, const RpcReply &reply);
 
     void schedule();
     /// Tells the control group under which tasks instances were lost.
--- a/src/HolderLink.cpp
+++ b/src/HolderLink.cpp
@@ -123,13 +123,13 @@
     armTimer();
 }
 
-void HolderLink::ping(const std::string &address)
+void HolderLink::ping(const std::string &address, std::string payload)
 {
     auto &peer = m_peers.at(address);
     peer.isPinging = true;
     peer.sentAt = m_clock.now();
     peer.client->call(
-        MessageKind::Ping, {}, m_settings.pingTimeout,
+        MessageKind::Ping, std::move(payload), m_settings.pingTimeout,
         [self = shared_from_this(), address, client = peer.client](const RpcResult &result) {
             boost::asio::post(
                 self->m_io,
@@ -181,15 +181,16 @@
         if (isLost) {
             (void)peerOf(address);
             if (!peer.isPinging)
-                ping(address);
+                ping(address, {});
             continue;
         }
         // Submitted jobs and received outcomes show liveness as well as pings do.
         const auto now = m_clock.now();
         const bool isIdle = now - peer.sentAt >= m_settings.pingPeriod
             || now - peer.lastContactAt >= m_settings.pingPeriod;
-        if (!peer.isPinging && isIdle)
-            ping(address);
+        auto payload = m_pingPayload(address);
+        if (!peer.isPinging && (isIdle || !payload.empty()))
+            ping(address, std::move(payload));
     }
     if (isNeeded)
         armTimer();
--- a/src/HolderLink.h
+++ b/src/HolderLink.h
@@ -59,6 +59,12 @@
     /// call fails when it is lost.
     void call(const std::string &address, MessageKind kind, std::string payload,
               std::function<void(const CallResult &)> callback);
+    /// Sets what returns the payload of a ping to an address. While it is not empty, the holder is
+    /// pinged also if other calls show that it is alive.
+    void setPingPayload(std::function<std::string(const std::string &address)> pingPayload)
+    {
+        m_pingPayload = std::move(pingPayload);
+    }
     /// Closes all connections; outstanding jobs end as unknown.
     void stop();
     /// False from the loss of a holder until it replies to a ping or the backoff has passed,
@@ -80,7 +86,7 @@
     };
 
     Peer &peerOf(const std::string &address);
-    void ping(const std::string &address);
+    void ping(const std::string &address, std::string payload);
     void onPong(const std::string &address, const std::shared_ptr<RpcClient> &client, bool isReply);
     void markLost(const std::string &address, const std::string &reason);
     void armTimer();
@@ -92,6 +98,9 @@
     SteadyClock m_clock;
     boost::asio::steady_timer m_timer;
     bool m_isTimerArmed = false;
+    std::function<std::string(const std::string &address)> m_pingPayload = [](const std::string &) {
+        return std::string();
+    };
     std::map<std::string, Peer> m_peers; ///< By address.
 };
 
--- a/src/RunOffer.h
+++ b/src/RunOffer.h
@@ -4,16 +4,22 @@
 
 #include "CrashHistory.h"
 #include "FleetTypes.h"
+#include "Result.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace Camphor {
 
+/// Whether a time since an event, in ms, is possible.
+[[nodiscard]] inline bool isValidAge(double ageMs) { return std::isfinite(ageMs) && ageMs >= 0; }
+
 /// A run that the other holder may start.
 struct OfferedRun
 {
@@ -42,13 +48,23 @@
     JobStep step;
     std::vector<OfferedRun> runs;
     bool allOrNone = false; ///< Start all of the runs, or none.
+    /// When the offer was sent, time since the last contact with the requester of the job.
+    double requesterAgeMs = 0;
+
+    /// Fails if the age is not a finite time in the past.
+    [[nodiscard]] Status check() const
+    {
+        return isValidAge(requesterAgeMs)
+            ? okStatus()
+            : Error{ErrorCode::InvalidMessage, "invalid requester age"};
+    }
 
     auto operator<=>(const RunOffer &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(job, queue, payload, stepIndex, step, runs, allOrNone);
+        archive(job, queue, payload, stepIndex, step, runs, allOrNone, requesterAgeMs);
     }
 };
 
@@ -62,6 +78,44 @@
     auto operator<=>(const AcceptedRunKey &) const = default;
 };
 
+/// How long ago the requester of a job was last in contact with the holder that has the job.
+struct RequesterAge
+{
+    JobKey job; ///< Of the sending holder.
+    double ageMs = 0;
+
+    auto operator<=>(const RequesterAge &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(job, ageMs);
+    }
+};
+
+/// The payload of a ping to a holder that has accepted runs, so that it renews no lease for longer
+/// than their requesters allow. Has all jobs of the sender with runs there.
+struct RequesterAges
+{
+    std::vector<RequesterAge> jobs;
+
+    /// Fails if an age is not a finite time in the past.
+    [[nodiscard]] Status check() const
+    {
+        const bool isValid =
+            std::ranges::all_of(jobs, [](const RequesterAge &it) { return isValidAge(it.ageMs); });
+        return isValid ? okStatus() : Error{ErrorCode::InvalidMessage, "invalid requester age"};
+    }
+
+    auto operator<=>(const RequesterAges &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(jobs);
+    }
+};
+
 struct RunOfferReply
 {
     std::vector<RunKey> started;
--- a/src/RunOfferClient.cpp
+++ b/src/RunOfferClient.cpp
@@ -63,6 +63,7 @@
         return;
     }
     open.tried.push_back(*address);
+    open.offer.requesterAgeMs = m_scheduler.requesterAge(job, m_clock.now()).count();
     m_link->call(*address, MessageKind::OfferRuns, encodeMessage(open.offer),
                  [self = shared_from_this(), job, address = *address](const CallResult &result) {
                      if (!self->m_isStopped)
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -297,40 +297,40 @@
         m_requesters[requester] = now;
 }
 
-Milliseconds RunScheduler::lastWantedAt(const std::string &requester, Milliseconds now) const
+Milliseconds RunScheduler::lastWantedAt(const Job &job, Milliseconds now) const
 {
-    const auto it = m_requesters.find(requester);
+    const auto it = m_requesters.find(job.requester);
     return it == m_requesters.end() ? now : it->second;
 }
 
-Milliseconds RunScheduler::renewalLimit(const std::string &requester, Milliseconds now) const
+std::optional<Milliseconds> RunScheduler::lastWantedAt(const RunKey &key, Milliseconds now) const
 {
-    return lastWantedAt(requester, now) + m_settings.renewalTimeout;
+    const auto accepted = m_acceptedRuns.find(key);
+    if (accepted != m_acceptedRuns.end())
+        return accepted->second.wantedAt;
+    const auto place = parseTaskName(key.task);
+    const auto job = place ? m_jobs.find(place->jobId) : m_jobs.end();
+    return job == m_jobs.end() ? std::nullopt : std::optional(lastWantedAt(job->second, now));
 }
 
-Milliseconds RunScheduler::renewalLimit(const LeasedInstance &instance, Milliseconds now) const
+Milliseconds RunScheduler::renewalLimit(const RunKey &key, Milliseconds now) const
 {
-    auto limit = NoRenewalLimit;
-    for (const auto &key : instance.runKeys()) {
-        if (const auto *requester = requesterOf(key))
-            limit = std::min(limit, renewalLimit(*requester, now));
-    }
-    return limit;
+    const auto wantedAt = lastWantedAt(key, now);
+    return wantedAt ? *wantedAt + m_settings.renewalTimeout : NoRenewalLimit;
 }
 
-const std::string *RunScheduler::requesterOf(const RunKey &key) const
+Milliseconds RunScheduler::renewalLimit(const LeasedInstance &instance, Milliseconds now) const
 {
-    const auto accepted = m_acceptedRuns.find(key);
-    if (accepted != m_acceptedRuns.end())
-        return &accepted->second.requester;
-    const auto place = parseTaskName(key.task);
-    const auto job = place ? m_jobs.find(place->jobId) : m_jobs.end();
-    return job == m_jobs.end() ? nullptr : &job->second.requester;
+    auto limit = NoRenewalLimit;
+    for (const auto &key : instance.runKeys())
+        limit = std::min(limit, renewalLimit(key, now));
+    return limit;
 }
 
 void RunScheduler::abandonRuns(Job &job, Milliseconds now)
 {
     std::map<std::string, StopRunsRequest> remote;
+    const auto limit = lastWantedAt(job, now) + m_settings.renewalTimeout;
     for (std::size_t step = 0; step < job.tasks.size(); ++step) {
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             const auto &task = job.tasks[step][index];
@@ -343,8 +343,7 @@
             }
             const auto it = m_instances.find(task.instance);
             if (it != m_instances.end())
-                it->second.abandon(key, AbandonReason::Unwanted, now,
-                                   renewalLimit(job.requester, now));
+                it->second.abandon(key, AbandonReason::Unwanted, now, limit);
         }
     }
     for (auto &[holder, request] : remote) {
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -140,6 +140,10 @@
     void onRemoteEnds(const JobKey &key, const std::vector<RunOutcome> &ends, Milliseconds now);
     /// The holder that runs tasks of this job, or may run them, is lost.
     void onRemoteHolderLost(const JobKey &key, Milliseconds now);
+    /// Time since the last contact with the requester of a job; 0 if it is a caller of this entry.
+    [[nodiscard]] Milliseconds requesterAge(const JobKey &key, Milliseconds now) const;
+    /// The same of all jobs with runs at another holder.
+    [[nodiscard]] RequesterAges requesterAges(const std::string &holder, Milliseconds now) const;
     [[nodiscard]] std::vector<RemoteStop> takeRemoteStops()
     {
         return std::exchange(m_remoteStops, {});
@@ -152,6 +156,8 @@
     /// Stops accepted runs of a requester.
     void stopOffered(const StopRunsRequest &request, const std::string &requester,
                      Milliseconds now);
+    /// Processes what a requester knows of the requesters of its jobs.
+    void onRequesterAges(const std::string &requester, const RequesterAges &ages, Milliseconds now);
     /// Accepted runs that have ended since the last call.
     [[nodiscard]] std::vector<AcceptedRunEnd> takeAcceptedEnds()
     {
@@ -235,6 +241,8 @@
         std::uint64_t submission = 0; ///< Of the job at the requester.
         std::string queue;
         JobStep step;
+        /// When the requester of the job was last in contact with the requester of the run.
+        Milliseconds wantedAt;
     };
 
     /// An instance on which tasks of one step can start.
@@ -284,15 +292,16 @@
     [[nodiscard]] std::vector<std::string> jobsInStartOrder() const;
     void refuseLateJobs(Milliseconds now);
     void removeLostRequesters(Milliseconds now);
-    /// When a requester was last known to wait for its jobs; now for callers of this entry.
-    [[nodiscard]] Milliseconds lastWantedAt(const std::string &requester, Milliseconds now) const;
-    /// Until when the runs of a requester may go on without another sign of it. Its callers may
-    /// send their jobs to other holders later, so nothing renews a lease beyond this time.
-    [[nodiscard]] Milliseconds renewalLimit(const std::string &requester, Milliseconds now) const;
+    /// When the requester of a job was last known to wait for it; now for callers of this entry.
+    [[nodiscard]] Milliseconds lastWantedAt(const Job &job, Milliseconds now) const;
+    /// The same for a run, also one accepted from another holder. Nothing if its job has ended.
+    [[nodiscard]] std::optional<Milliseconds> lastWantedAt(const RunKey &key,
+                                                           Milliseconds now) const;
+    /// Until when the lease of a run may be renewed without another sign of its requester: later,
+    /// the caller may have sent the job to another holder.
+    [[nodiscard]] Milliseconds renewalLimit(const RunKey &key, Milliseconds now) const;
     /// The earliest such time of the runs of an instance.
     [[nodiscard]] Milliseconds renewalLimit(const LeasedInstance &instance, Milliseconds now) const;
-    /// The requester of a run, or null if its job has ended.
-    [[nodiscard]] const std::string *requesterOf(const RunKey &key) const;
     /// This process was paused: the requesters have given up meanwhile, and the lists are outdated.
     void onPause(Milliseconds duration, Milliseconds now);
     void storeOutcome(const std::string &jobId, const JobOutcome &outcome, Milliseconds now);
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -43,7 +43,8 @@
                        static_cast<std::uint32_t>(step),
                        job.job.steps[step],
                        {},
-                       !job.hasStarted};
+                       !job.hasStarted,
+                       (now - lastWantedAt(job, now)).count()};
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             auto &task = job.tasks[step][index];
             if (task.state != Task::State::Waiting)
@@ -124,8 +125,47 @@
         finish(key.id, {JobVerdict::Unknown, "holder-lost", 0}, now);
 }
 
+Milliseconds RunScheduler::requesterAge(const JobKey &key, Milliseconds now) const
+{
+    const auto *job = find(key);
+    return job == nullptr ? Milliseconds{0} : now - lastWantedAt(*job, now);
+}
+
+RequesterAges RunScheduler::requesterAges(const std::string &holder, Milliseconds now) const
+{
+    RequesterAges ages;
+    for (const auto &[id, job] : m_jobs) {
+        const auto isThere = [&](const Task &it) {
+            return it.state == Task::State::Running && it.holder == holder;
+        };
+        const bool hasRuns = std::ranges::any_of(job.tasks, [&](const std::vector<Task> &tasks) {
+            return std::ranges::any_of(tasks, isThere);
+        });
+        if (hasRuns)
+            ages.jobs.push_back({{id, job.submission}, (now - lastWantedAt(job, now)).count()});
+    }
+    return ages;
+}
+
 // --- Runs accepted from other holders
 
+void RunScheduler::onRequesterAges(const std::string &requester, const RequesterAges &ages,
+                                   Milliseconds now)
+{
+    onRequesterContact(requester, now);
+    std::map<JobKey, Milliseconds> wantedAt;
+    for (const auto &[job, ageMs] : ages.jobs)
+        wantedAt[job] = now - Milliseconds{ageMs};
+    for (auto &[key, run] : m_acceptedRuns) {
+        const auto place = run.requester == requester ? parseTaskName(key.task) : std::nullopt;
+        if (!place)
+            continue;
+        const auto it = wantedAt.find({place->jobId, run.submission});
+        if (it != wantedAt.end())
+            run.wantedAt = std::max(run.wantedAt, it->second);
+    }
+}
+
 RunOfferReply RunScheduler::startOffered(const RunOffer &offer, const std::string &requester,
                                          Milliseconds now)
 {
@@ -158,13 +198,15 @@
         return {};
     const auto estimate =
         m_runTimes.estimate(offer.queue, Milliseconds{double(offer.step.estimatedMs)});
+    const auto wantedAt = now - Milliseconds{offer.requesterAgeMs};
+    const auto limit = wantedAt + m_settings.renewalTimeout;
     std::vector<RunKey> started;
     for (const auto &[key, instance, isExclusive] : placed) {
         const auto &id = instance->report().key.id;
         m_starts.push_back(instance->start(key, offer.payload, offer.step.demand,
                                            estimate * m_health.slowdown(id), now, isExclusive,
-                                           renewalLimit(*instance, now)));
-        m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step};
+                                           std::min(limit, renewalLimit(*instance, now))));
+        m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step, wantedAt};
         addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id, "accepted-offer", 0});
         started.push_back(key);
     }
@@ -187,7 +229,7 @@
         if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(requester, now));
+            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(key, now));
     }
 }
 
@@ -197,7 +239,7 @@
         if (!requesters.contains(run.requester))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(run.requester, now));
+            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(key, now));
     }
 }
 
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -180,7 +180,7 @@
     const RunKey key{taskName(job.job.id, step, index), task.runs};
     chargeQueue(job.rule.name, jobStep, expected);
     const bool isExclusive = suspicionOf(job, step, index) != TaskSuspicion::None;
-    const auto limit = std::min(renewalLimit(instance, now), renewalLimit(job.requester, now));
+    const auto limit = std::min(renewalLimit(instance, now), renewalLimit(key, now));
     m_starts.push_back(
         instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive, limit));
     addEvent(
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -5,6 +5,7 @@
 #include "TaskName.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <optional>
@@ -484,7 +485,7 @@
         for (const auto &other : m_holders) {
             if (offersRuns && !areHoldersCut && other.get() != &holder
                 && !paused.contains(other.get()))
-                holder.onRequesterContact(addressOf(*other), at);
+                hear(holder, *other);
         }
         for (const auto &offer : holder.takeOffers(at)) {
             if (offersRuns)
@@ -507,9 +508,20 @@
         }
     }
 
+    void hear(RunScheduler &holder, RunScheduler &other)
+    {
+        constexpr double PingPeriodMs = 200;
+        holder.onRequesterContact(addressOf(other), Milliseconds{now});
+        if (std::fmod(now, PingPeriodMs) < 1)
+            holder.onRequesterAges(addressOf(other),
+                                   other.requesterAges(addressOf(holder), Milliseconds{now}),
+                                   Milliseconds{now});
+    }
+
     /// Offers the runs to the holders from the given number on.
-    void sendOffer(RunScheduler &holder, const RunOffer &offer, std::size_t number)
+    void sendOffer(RunScheduler &holder, RunOffer offer, std::size_t number)
     {
+        offer.requesterAgeMs = holder.requesterAge(offer.job, Milliseconds{now}).count();
         if (number < m_holders.size() && m_holders[number].get() == &holder)
             ++number;
         if (number >= m_holders.size() || offer.runs.empty()) {
--- a/test/correctness/HolderLinkTest.cpp
+++ b/test/correctness/HolderLinkTest.cpp
@@ -87,3 +87,37 @@
     CHECK_FALSE(link->isUsable(address.toString()));
     stop(io, *link, *holder);
 }
+
+TEST_CASE("a ping with a payload is sent although other calls show that the holder is alive",
+          "[holder]")
+{
+    // Guards against a holder that hears nothing of the requesters of offered runs while it hears
+    // other things from their holder.
+    boost::asio::io_context io;
+    const Address address{"127.0.0.1", freePort()};
+    HolderLinkSettings settings;
+    settings.pingPeriod = Milliseconds{5};
+    const auto link = std::make_shared<HolderLink>(io, makeRpc("entry"), settings);
+    link->setPingPayload([&](const std::string &it) { return it; });
+    std::vector<RpcReply> jobs;
+    std::vector<std::string> pings;
+    const auto holder = RpcServer::make(io, address, makeRpc("holder"),
+                                        [&](const Hello &, MessageKind kind,
+                                            const std::string &payload, const RpcReply &reply) {
+                                            if (kind == MessageKind::AwaitRuns) {
+                                                jobs.push_back(reply);
+                                                return;
+                                            }
+                                            if (kind == MessageKind::Ping)
+                                                pings.push_back(payload);
+                                            reply(std::string());
+                                        })
+                            .value();
+    link->call(address.toString(), MessageKind::AwaitRuns, {}, [](const CallResult &) { });
+    runUntil(io, [&] {
+        link->call(address.toString(), MessageKind::OfferRuns, {}, [](const CallResult &) { });
+        return pings.size() >= 2;
+    });
+    CHECK(pings == std::vector<std::string>(pings.size(), address.toString()));
+    stop(io, *link, *holder);
+}
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <random>
 #include <string>
@@ -274,7 +275,7 @@
 }
 
 TEST_CASE("the runs of a killed entry end in time at a holder that is cut off from its requester",
-          "[resubmission][!mayfail]")
+          "[resubmission]")
 {
     // Guards against the same sum with one more holder in between: the first one offers runs to the
     // second, and is cut off from it before it has lost the entry.
@@ -341,3 +342,16 @@
 {
     CHECK_FALSE(ResubmissionTimeouts::make({Milliseconds{1'300}, Milliseconds{10'000}, 0.2}));
 }
+
+TEST_CASE("an impossible age of a requester's last contact is refused", "[resubmission]")
+{
+    // Guards against a malformed message that lets a lease be renewed for good.
+    const auto ageMs = GENERATE(-1.0, std::numeric_limits<double>::quiet_NaN(),
+                                std::numeric_limits<double>::infinity());
+    CAPTURE(ageMs);
+    RunOffer offer;
+    offer.requesterAgeMs = ageMs;
+    CHECK_FALSE(offer.check());
+    CHECK_FALSE(RequesterAges{{{JobKey{"job", 1}, ageMs}}}.check());
+    CHECK(RequesterAges{{{JobKey{"job", 1}, 0}}}.check());
+}
