Count contact from when a request was read, and handle each cancellation

A request between entries may be 300 ms old when it is read, and was allowed to wait 300 ms more in the process; its handling counted as contact, so a killed entry seemed to be there for 600 ms, while the sum of the timeouts has 300. And a cancellation or a stop that had waited longer was refused and thereby lost: the runs went on while the entry's other calls kept them alive, and the caller's second submission ran beside them without end.

Contact now counts from when a request was read, and requests that only end work (CancelJob, StopRuns) are handled however late. An offer of a requester that counts as lost is refused instead of being started and stopped.

"a request that has waited in the process does not count as a later contact" fails without the change of submit() (the requester is lost 250 ms later); "only requests that end work are handled at any age" covers the rule, not the wait itself, which was shown by reading only.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -103,10 +103,11 @@
             const auto readAt = self->m_clock.now();
             boost::asio::post(self->m_io, [=] {
                 // The process may have been paused since.
-                if (self->m_clock.now() - readAt > self->m_settings.maxRequestAge)
+                const auto waited = self->m_clock.now() - readAt;
+                if (waited > self->m_settings.maxRequestAge && !endsWork(kind))
                     reply(Error{ErrorCode::Unavailable, "the request has become too old"});
                 else
-                    self->onRpc(peer, kind, payload, reply);
+                    self->onRpc(peer, kind, payload, reply, readAt);
             });
         });
     if (!server)
@@ -455,16 +456,16 @@
 // --- Jobs of other entries
 
 void FleetEntry::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
-                       const RpcReply &reply)
+                       const RpcReply &reply, Milliseconds readAt)
 {
     // A requester that has lost its connection has given up the jobs that it submitted on it, so
     // its contact on a new connection must not keep them alive.
     const auto requester = peer.instance + "/" + std::to_string(peer.incarnation) + "/"
         + std::to_string(peer.connection);
-    m_scheduler.onRequesterContact(requester, m_clock.now());
+    m_scheduler.onRequesterContact(requester, readAt);
     switch (kind) {
     case MessageKind::Ping:
-        return onPing(requester, payload, reply);
+        return onPing(requester, payload, reply, readAt);
     case MessageKind::SubmitJob:
         return onSubmit(requester, payload, reply);
     case MessageKind::CancelJob: {
@@ -492,13 +493,13 @@
 }
 
 void FleetEntry::onPing(const std::string &requester, const std::string &payload,
-                        const RpcReply &reply)
+                        const RpcReply &reply, Milliseconds readAt)
 {
     if (!payload.empty()) {
         const auto ages = decodeOrReject<RequesterAges>(payload, reply);
         if (!ages)
             return;
-        m_scheduler.onRequesterAges(requester, *ages, m_clock.now());
+        m_scheduler.onRequesterAges(requester, *ages, readAt);
     }
     reply(std::string());
 }
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -157,12 +157,14 @@
     void onForwardResult(const JobKey &key, const std::variant<JobOutcome, ForwardFailure> &it);
     void respond(const std::string &jobId, const JobOutcome &outcome);
 
+    /// @param readAt when the request was read; its sender was in contact then.
     void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
-               const RpcReply &reply);
+               const RpcReply &reply, Milliseconds readAt);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
     /// The requesters of the jobs with runs at another holder, for it; empty if there are none.
     [[nodiscard]] std::string pingPayload(const std::string &address) const;
-    void onPing(const std::string &requester, const std::string &payload, const RpcReply &reply);
+    void onPing(const std::string &requester, const std::string &payload, const RpcReply &reply,
+                Milliseconds readAt);
 
     void schedule();
     /// Tells the control group under which tasks instances were lost.
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -4,6 +4,7 @@
 
 #include "CrashHistory.h"
 #include "FleetTypes.h"
+#include "Frame.h"
 #include "RaftCore.h"
 #include "Result.h"
 #include "TextDelta.h"
@@ -88,6 +89,13 @@
 inline constexpr std::size_t MaxTaskNameBytes = 128;
 inline constexpr std::size_t MaxLostInstanceIdBytes = 256;
 
+/// Whether a request only ends work. Such a request is handled however late: refused for its age,
+/// it would let the work run on beside that of a later submission.
+[[nodiscard]] constexpr bool endsWork(MessageKind kind)
+{
+    return kind == MessageKind::CancelJob || kind == MessageKind::StopRuns;
+}
+
 /// Fails if a loss names no instance, or exceeds the bounds of a message.
 [[nodiscard]] Status checkLoss(const InstanceLoss &loss);
 
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -228,7 +228,7 @@
 
 JobKey RunScheduler::submit(const FleetJob &job, const std::string &requester, Milliseconds now)
 {
-    onRequesterContact(requester, now);
+    addRequester(requester, now);
     if (const auto it = m_jobs.find(job.id); it != m_jobs.end()) {
         it->second.requester = requester;
         addEvent({ScheduleEvent::Kind::Joined, job.id, {}, {}, "running-job"});
@@ -292,14 +292,27 @@
 }
 
 void RunScheduler::onRequesterContact(const std::string &requester, Milliseconds now)
+{
+    if (requester.empty())
+        return;
+    auto &lastContactAt = m_requesters.try_emplace(requester, now).first->second;
+    lastContactAt = std::max(lastContactAt, now);
+}
+
+void RunScheduler::addRequester(const std::string &requester, Milliseconds now)
 {
     if (!requester.empty())
-        m_requesters[requester] = now;
+        m_requesters.try_emplace(requester, now);
 }
 
 Milliseconds RunScheduler::lastWantedAt(const Job &job, Milliseconds now) const
 {
-    const auto it = m_requesters.find(job.requester);
+    return lastContactAt(job.requester, now);
+}
+
+Milliseconds RunScheduler::lastContactAt(const std::string &requester, Milliseconds now) const
+{
+    const auto it = m_requesters.find(requester);
     return it == m_requesters.end() ? now : it->second;
 }
 
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -157,6 +157,7 @@
     void stopOffered(const StopRunsRequest &request, const std::string &requester,
                      Milliseconds now);
     /// Processes what a requester knows of the requesters of its jobs.
+    /// @param now when its message was read.
     void onRequesterAges(const std::string &requester, const RequesterAges &ages, Milliseconds now);
     /// Accepted runs that have ended since the last call.
     [[nodiscard]] std::vector<AcceptedRunEnd> takeAcceptedEnds()
@@ -291,6 +292,11 @@
     void raiseVirtualTime(const std::string &queue);
     [[nodiscard]] std::vector<std::string> jobsInStartOrder() const;
     void refuseLateJobs(Milliseconds now);
+    /// Notes a requester of which nothing is known yet. That it was in contact is told by
+    /// onRequesterContact(), because a request may have waited since it was read.
+    void addRequester(const std::string &requester, Milliseconds now);
+    /// Now for callers of this entry.
+    [[nodiscard]] Milliseconds lastContactAt(const std::string &requester, Milliseconds now) const;
     void removeLostRequesters(Milliseconds now);
     /// When the requester of a job was last known to wait for it; now for callers of this entry.
     [[nodiscard]] Milliseconds lastWantedAt(const Job &job, Milliseconds now) const;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -152,7 +152,6 @@
 void RunScheduler::onRequesterAges(const std::string &requester, const RequesterAges &ages,
                                    Milliseconds now)
 {
-    onRequesterContact(requester, now);
     std::map<JobKey, Milliseconds> wantedAt;
     for (const auto &[job, ageMs] : ages.jobs)
         wantedAt[job] = now - Milliseconds{ageMs};
@@ -169,11 +168,14 @@
 RunOfferReply RunScheduler::startOffered(const RunOffer &offer, const std::string &requester,
                                          Milliseconds now)
 {
-    onRequesterContact(requester, now);
+    addRequester(requester, now);
     const auto *rule = m_configuration ? m_configuration->find(offer.queue) : nullptr;
     // A submission of the same job that this holder has itself decides where its tasks run.
     if (rule == nullptr || m_jobs.contains(offer.job.id))
         return {};
+    // The runs of a lost requester would be stopped at once.
+    if (now - lastContactAt(requester, now) > m_settings.requesterTimeout)
+        return {};
     auto found =
         candidates(rule->service, offer.step, taskNamePrefix(offer.job.id, offer.stepIndex), now);
     struct Placement
@@ -198,7 +200,7 @@
         return {};
     const auto estimate =
         m_runTimes.estimate(offer.queue, Milliseconds{double(offer.step.estimatedMs)});
-    const auto wantedAt = now - Milliseconds{offer.requesterAgeMs};
+    const auto wantedAt = lastContactAt(requester, now) - Milliseconds{offer.requesterAgeMs};
     const auto limit = wantedAt + m_settings.renewalTimeout;
     std::vector<RunKey> started;
     for (const auto &[key, instance, isExclusive] : placed) {
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -1,6 +1,7 @@
 /// @file Two faults in a row must not let a job that was sent again run beside its first
 /// submission.
 #include "FleetModel.h"
+#include "FleetProtocol.h"
 #include "ResubmissionTimeouts.h"
 
 #include <catch2/catch.hpp>
@@ -355,3 +356,32 @@
     CHECK_FALSE(RequesterAges{{{JobKey{"job", 1}, ageMs}}}.check());
     CHECK(RequesterAges{{{JobKey{"job", 1}, 0}}}.check());
 }
+
+TEST_CASE("a request that has waited in the process does not count as a later contact",
+          "[resubmission]")
+{
+    // Guards against two delays in a row: a message is read late, and handled later still.
+    constexpr double HandledAtMs = 250;
+    const SchedulerSettings settings;
+    FleetSimulation world(3, {}, 1);
+    auto &holder = world.addHolder(1, makeConfiguration());
+    world.runTime = [](const std::string &) { return 4'000; };
+    world.run(50);
+    holder.onRequesterContact("entry/1", Milliseconds{world.now});
+    const auto readAtMs = world.now;
+    world.run(readAtMs + HandledAtMs);
+    holder.submit(makeJob("job", 2), "entry/1", Milliseconds{world.now});
+    world.run(readAtMs + settings.requesterTimeout.count() + 10);
+    REQUIRE(world.outcomes.contains("job"));
+    CHECK(world.outcomes.at("job").reason == "requester-lost");
+}
+
+TEST_CASE("only requests that end work are handled at any age", "[resubmission]")
+{
+    // Guards against a cancellation that is refused for its age while its job runs on.
+    CHECK(endsWork(MessageKind::CancelJob));
+    CHECK(endsWork(MessageKind::StopRuns));
+    for (const auto kind : {MessageKind::SubmitJob, MessageKind::OfferRuns, MessageKind::AwaitRuns,
+                            MessageKind::Ping})
+        CHECK_FALSE(endsWork(kind));
+}
