Let a cancelled run go on no longer than from when its caller was there

A cancellation that was read late, over a slow link, counted as contact and gave the runs that it ended another 910 ms; and an entry that had been paused for less than 500 ms renewed the leases of its own callers' runs before it noticed that they had left.

A cancellation and a stop now carry when they were sent at the earliest, on the receiver's clock (RpcPeer::sentAfter), and the limit counts from there. For own callers it counts from the last scheduling pass, and an entry that has not scheduled for 150 ms looks at the connections of its callers before it renews anything.

The tests now place both jobs on one instance, and check that; the reviewer had found that the former layout did not, so that a fault of the renewal limit passed unnoticed. They also play late cancellations and paused holders, and check that the resubmission has started.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t NoHolderRetryMs = 1'000;
 /// Reasons after which another holder is tried.
 constexpr const char *NotHolderReason = "not-holder";
+/// After a longer time without scheduling, the connections of the callers are looked at first.
+constexpr Milliseconds MaxUnnoticedPause{150};
 /// Interval at which a leaving entry checks whether its runs have ended.
 constexpr Milliseconds LeavePeriod{50};
 /// Time for the control group to learn that this entry leaves.
@@ -98,8 +100,8 @@
     served.maxRequestAge = m_settings.maxRequestAge;
     auto server = RpcServer::make(
         m_io, Address::parse(m_settings.self.address).value(), served,
-        [self = shared_from_this()](const Hello &peer, MessageKind kind, const std::string &payload,
-                                    const RpcReply &reply) {
+        [self = shared_from_this()](const RpcPeer &peer, MessageKind kind,
+                                    const std::string &payload, const RpcReply &reply) {
             const auto readAt = self->m_clock.now();
             boost::asio::post(self->m_io, [=] {
                 // The process may have been paused since.
@@ -449,13 +451,13 @@
         m_link->cancel(pending.address, jobId);
         return;
     }
-    m_scheduler.cancel(jobId, {}, m_clock.now());
+    m_scheduler.cancel(jobId, {}, m_scheduledAt, m_clock.now());
     schedule();
 }
 
 // --- Jobs of other entries
 
-void FleetEntry::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
+void FleetEntry::onRpc(const RpcPeer &peer, MessageKind kind, const std::string &payload,
                        const RpcReply &reply, Milliseconds readAt)
 {
     // A requester that has lost its connection has given up the jobs that it submitted on it, so
@@ -470,7 +472,7 @@
         return onSubmit(requester, payload, reply);
     case MessageKind::CancelJob: {
         if (const auto request = decodeMessage<CancelJobRequest>(payload)) {
-            m_scheduler.cancel(request.value().jobId, requester, m_clock.now());
+            m_scheduler.cancel(request.value().jobId, requester, peer.sentAfter, m_clock.now());
             schedule();
         }
         return reply(std::string());
@@ -480,7 +482,7 @@
     case MessageKind::AwaitRuns:
         return onAwaitRuns(requester, payload, reply);
     case MessageKind::StopRuns:
-        return onStopRuns(requester, payload, reply);
+        return onStopRuns(requester, payload, reply, peer.sentAfter);
     default:
         return reply(Error{ErrorCode::InvalidRequest, "an entry does not support this call"});
     }
@@ -534,12 +536,12 @@
 }
 
 void FleetEntry::onStopRuns(const std::string &requester, const std::string &payload,
-                            const RpcReply &reply)
+                            const RpcReply &reply, Milliseconds sentAfter)
 {
     const auto request = decodeOrReject<StopRunsRequest>(payload, reply);
     if (!request)
         return;
-    m_scheduler.stopOffered(*request, requester, m_clock.now());
+    m_scheduler.stopOffered(*request, requester, sentAfter, m_clock.now());
     schedule();
     reply(std::string());
 }
@@ -569,8 +571,10 @@
     boost::asio::post(m_io, [self = shared_from_this()] {
         self->m_isScheduling = false;
         const auto now = self->m_clock.now();
-        if (self->m_scheduler.wasPaused(now))
+        // No lease is renewed for callers that have left while this process did not run.
+        if (now - self->m_scheduledAt > MaxUnnoticedPause)
             self->abandonUnwantedJobs();
+        self->m_scheduledAt = now;
         std::vector<std::string> reachable;
         for (const auto &grant : self->m_cells.cells(self->m_settings.self.domain)) {
             if (self->m_link->hadRecentContact(grant.address))
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -158,7 +158,7 @@
     void respond(const std::string &jobId, const JobOutcome &outcome);
 
     /// @param readAt when the request was read; its sender was in contact then.
-    void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
+    void onRpc(const RpcPeer &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply, Milliseconds readAt);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
     /// The requesters of the jobs with runs at another holder, for it; empty if there are none.
@@ -179,8 +179,8 @@
                      const RpcReply &reply);
     void onAwaitRuns(const std::string &requester, const std::string &payload,
                      const RpcReply &reply);
-    void onStopRuns(const std::string &requester, const std::string &payload,
-                    const RpcReply &reply);
+    void onStopRuns(const std::string &requester, const std::string &payload, const RpcReply &reply,
+                    Milliseconds sentAfter);
     void logEvents();
     void armTimer(Milliseconds now);
     void checkLeaving();
@@ -217,6 +217,7 @@
     bool m_hasStoppedAccepting = false;
     Milliseconds m_leavingSince;
     Milliseconds m_startedAt = m_clock.now();
+    Milliseconds m_scheduledAt = m_clock.now(); ///< Last scheduling pass.
     std::vector<StartWaiter> m_startWaiters;
 };
 
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -109,7 +109,8 @@
 
     void passOn(const FrameHeader &header, std::string payload)
     {
-        m_state->handler(*m_hello, header.kind, std::move(payload), makeReply(header));
+        const RpcPeer peer{*m_hello, Milliseconds{static_cast<double>(header.serverClockMs)}};
+        m_state->handler(peer, header.kind, std::move(payload), makeReply(header));
     }
 
     [[nodiscard]] std::uint64_t clockMs() const
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -268,11 +268,13 @@
     return key;
 }
 
-void RunScheduler::cancel(const std::string &jobId, const std::string &requester, Milliseconds now)
+void RunScheduler::cancel(const std::string &jobId, const std::string &requester,
+                          Milliseconds wantedAt, Milliseconds now)
 {
     const auto it = m_jobs.find(jobId);
     if (it == m_jobs.end() || it->second.requester != requester)
         return;
+    it->second.cancelledAt = wantedAt;
     // The requester no longer waits for the job, but for the end of its call.
     finish(jobId, {JobVerdict::Unknown, "cancelled", 0}, now);
 }
@@ -307,7 +309,8 @@
 
 Milliseconds RunScheduler::lastWantedAt(const Job &job, Milliseconds now) const
 {
-    return lastContactAt(job.requester, now);
+    const auto contactAt = lastContactAt(job.requester, now);
+    return std::min(contactAt, job.cancelledAt.value_or(contactAt));
 }
 
 Milliseconds RunScheduler::lastContactAt(const std::string &requester, Milliseconds now) const
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -119,7 +119,10 @@
     JobKey submit(const FleetJob &job, const std::string &requester, Milliseconds now);
     /// The caller has disconnected: ends the job as unknown and stops its runs. Does nothing if
     /// another requester has submitted the job since.
-    void cancel(const std::string &jobId, const std::string &requester, Milliseconds now);
+    /// @param wantedAt when the caller was certainly still there; the cancellation may have been
+    /// noticed or read late.
+    void cancel(const std::string &jobId, const std::string &requester, Milliseconds wantedAt,
+                Milliseconds now);
     void onRequesterContact(const std::string &requester, Milliseconds now);
     [[nodiscard]] bool hasJob(const JobKey &job) const { return find(job) != nullptr; }
     /// Whether the job is in progress and its requester still waits for it.
@@ -154,8 +157,9 @@
     [[nodiscard]] RunOfferReply startOffered(const RunOffer &offer, const std::string &requester,
                                              Milliseconds now);
     /// Stops accepted runs of a requester.
+    /// @param wantedAt as for cancel().
     void stopOffered(const StopRunsRequest &request, const std::string &requester,
-                     Milliseconds now);
+                     Milliseconds wantedAt, Milliseconds now);
     /// Processes what a requester knows of the requesters of its jobs.
     /// @param now when its message was read.
     void onRequesterAges(const std::string &requester, const RequesterAges &ages, Milliseconds now);
@@ -220,6 +224,8 @@
         Milliseconds latestStart; ///< A start after this cannot meet the objective.
         Milliseconds startDeadline; ///< The job is refused unless it has started by then.
         Milliseconds nextOfferAt;
+        /// Set if the job ends because its caller has left: when the caller was certainly there.
+        std::optional<Milliseconds> cancelledAt;
         bool hasStarted = false;
         bool isOffered = false; ///< An offer is open; nothing starts here meanwhile.
         bool hasEarlierRuns = false; ///< Runs of an earlier submission have not ended yet.
@@ -265,7 +271,8 @@
     [[nodiscard]] Milliseconds expectedTime(const Job &job, const JobStep &step) const;
     /// @param prefix of the names of the step's tasks.
     [[nodiscard]] std::vector<Candidate> candidates(const std::string &service, const JobStep &step,
-                                                    const std::string &prefix, Milliseconds now);
+                                                    const std::string &prefix,
+                                                    Milliseconds renewalLimit, Milliseconds now);
     [[nodiscard]] std::vector<Candidate> candidates(const Job &job, std::size_t stepIndex,
                                                     Milliseconds now);
     /// The best candidate for a task, or null. A task under which instances were lost runs alone if
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -225,13 +225,15 @@
 }
 
 void RunScheduler::stopOffered(const StopRunsRequest &request, const std::string &requester,
-                               Milliseconds now)
+                               Milliseconds wantedAt, Milliseconds now)
 {
     for (const auto &key : request.runs) {
         if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(key, now));
+            instance.abandon(
+                key, AbandonReason::Unwanted, now,
+                std::min(renewalLimit(key, now), wantedAt + m_settings.renewalTimeout));
     }
 }
 
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -502,8 +502,8 @@
         }
         for (const auto &stop : holder.takeRemoteStops()) {
             auto &other = holderAt(stop.holder);
-            post(other, [this, &other, stop, address] {
-                other.stopOffered(stop.request, address, Milliseconds{now});
+            post(other, [this, &other, stop, address, sentAt = at] {
+                other.stopOffered(stop.request, address, sentAt, Milliseconds{now});
             });
         }
     }
@@ -543,7 +543,7 @@
                 else
                     post(other, [this, &holder, &other, offer, started] {
                         other.stopOffered({offer.job, started}, addressOf(holder),
-                                          Milliseconds{now});
+                                          Milliseconds{now}, Milliseconds{now});
                     });
                 sendOffer(holder, rest, number + 1);
             });
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -1,5 +1,6 @@
 /// @file What a holder can infer with certainty about the runs of one instance.
 #include "LeasedInstance.h"
+#include "RunScheduler.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/correctness/OrderFencingTest.cpp
+++ b/test/correctness/OrderFencingTest.cpp
@@ -96,7 +96,7 @@
     const auto starts = world.scheduler.takeStarts();
     REQUIRE(starts.size() == 1);
     world.scheduler.onStartReply(starts.front(), {}, world.now);
-    world.scheduler.cancel("job", {}, world.now);
+    world.scheduler.cancel("job", {}, world.now, world.now);
     if (sign == "report")
         world.report(2'000);
     if (sign == "disconnection")
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -6,12 +6,15 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <limits>
 #include <map>
 #include <random>
+#include <ranges>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace Camphor;
@@ -58,22 +61,31 @@
     return faults;
 }
 
-/// Cells of three instances each. A job of an entry runs in the first one, beside another job whose
-/// runs keep the leases of the same instances renewed. The last cell gets the job again.
+/// Cells of three instances each. A job of an entry runs in the first one, beside another job that
+/// needs the leases of the same instances. The last cell gets the job again.
 class ResentJob
 {
 public:
-    explicit ResentJob(double lostStops = 0, std::size_t cells = 2, std::uint32_t tasks = 3)
+    /// @param tasks of the job; the other one fills the cell.
+    explicit ResentJob(double lostStops = 0, std::size_t cells = 2, std::uint32_t tasks = 1)
         : world(3 * cells, makeFaults(lostStops), 1)
         , m_job(makeJob("job", tasks))
     {
+        constexpr std::uint32_t TasksPerCell = 7;
         world.runTime = [](const std::string &) { return 4'000; };
         for (std::size_t n = 0; n < cells; ++n)
             holders.push_back(&world.addHolder(1, makeConfiguration(), 3 * n, 3));
         world.run(30);
-        first().submit(makeJob("other", 4), {}, at());
-        world.run(50);
-        first().submit(m_job, "entry/1", at());
+        if (tasks < TasksPerCell) {
+            first().submit(m_job, "entry/1", at());
+            world.run(50);
+            first().submit(makeJob("other", TasksPerCell - tasks), {}, at());
+        } else {
+            // The tasks that find no room in the first cell are offered to the second one.
+            first().submit(makeJob("other", 4), {}, at());
+            world.run(50);
+            first().submit(m_job, "entry/1", at());
+        }
     }
 
     [[nodiscard]] Milliseconds at() const { return Milliseconds{world.now}; }
@@ -84,7 +96,7 @@
     void play(double untilMs, double lastContactMs)
     {
         while (world.now < untilMs) {
-            if (world.now <= lastContactMs)
+            if (world.now <= lastContactMs && !world.paused.contains(&first()))
                 first().onRequesterContact("entry/1", at());
             last().onRequesterContact("entry/2", at());
             world.run(std::min(untilMs, world.now + ContactPeriodMs));
@@ -93,6 +105,41 @@
 
     void resend() { last().submit(m_job, "entry/2", at()); }
 
+    /// Whether a run of the job is running in the first or in the last cell.
+    [[nodiscard]] bool runsIn(bool isLast)
+    {
+        const auto count = world.instances().size();
+        return std::ranges::any_of(std::views::iota(std::size_t{0}, count), [&](std::size_t n) {
+            const bool isInCell = isLast ? n + 3 >= count : n < 3;
+            const auto &runs = world.instances().at("worker-" + std::to_string(n)).running();
+            return isInCell && std::ranges::any_of(runs, [](const auto &it) {
+                       return it.key.task.starts_with("job.");
+                   });
+        });
+    }
+    /// Whether an instance runs tasks of both jobs.
+    [[nodiscard]] bool isShared()
+    {
+        return std::ranges::any_of(world.instances(), [](const auto &it) {
+            const auto hasRunOf = [&](const char *job) {
+                return std::ranges::any_of(it.second.running(), [&](const auto &run) {
+                    return run.key.task.starts_with(job);
+                });
+            };
+            return hasRunOf("job.") && hasRunOf("other.");
+        });
+    }
+    /// Checks that the resubmission has started, and that no task ever ran twice.
+    void checkResubmission()
+    {
+        play(FaultAtMs + ResendMs, 0);
+        resend();
+        play(FaultAtMs + ResendMs + ContactPeriodMs, 0);
+        CHECK(runsIn(true));
+        play(EndMs, 0);
+        CHECK(world.doubleRuns == 0);
+    }
+
     FleetSimulation world;
     std::vector<RunScheduler *> holders;
 
@@ -135,6 +182,7 @@
             }
             sendMessages();
             resendDue();
+            readCancellations();
             world.run(world.now + 1);
         }
     }
@@ -194,11 +242,30 @@
     {
         const auto call = m_calls[number];
         m_calls.erase(m_calls.begin() + static_cast<std::ptrdiff_t>(number));
-        if (random(2) == 0 && isReachable(call.holder))
-            call.holder->cancel(call.job, call.requester, at());
+        if (random(2) == 0)
+            cancelLate(call);
         resendAfter(call.job, 0);
     }
 
+    /// The link between the entry and the holder is slow, so that the cancellation is read late.
+    void cancelLate(const Call &call)
+    {
+        constexpr unsigned MaxDelayMs = 690;
+        m_cancellations.emplace(world.now + random(MaxDelayMs), std::pair(call, at()));
+    }
+
+    void readCancellations()
+    {
+        while (!m_cancellations.empty() && m_cancellations.begin()->first <= world.now) {
+            const auto [call, sentAt] = m_cancellations.begin()->second;
+            m_cancellations.erase(m_cancellations.begin());
+            if (!isReachable(call.holder))
+                continue;
+            call.holder->onRequesterContact(call.requester, at());
+            call.holder->cancel(call.job, call.requester, sentAt, at());
+        }
+    }
+
     /// The entries lose a paused holder, and answer their callers.
     void pause(RunScheduler &holder)
     {
@@ -236,6 +303,8 @@
     std::vector<RunScheduler *> m_holders;
     std::vector<Call> m_calls;
     std::multimap<double, std::string> m_resends;
+    /// With the time at which they were sent.
+    std::multimap<double, std::pair<Call, Milliseconds>> m_cancellations;
     const RunScheduler *m_cut = nullptr; ///< Cut off from all of its instances.
     double m_faultEndsAt = 0;
     int m_lastJob = 0;
@@ -247,12 +316,35 @@
 TEST_CASE("a run whose stop goes unanswered ends before its job is sent again", "[resubmission]")
 {
     // Guards against a lease that is renewed without end for a run that nobody waits for, because
-    // other runs of the instance need it.
+    // other runs of the instance need it. A cancellation may be read late.
+    const auto readAfterMs = GENERATE(0.0, 100.0, 400.0, 650.0);
+    CAPTURE(readAfterMs);
+    ResentJob play(1.0);
+    play.play(FaultAtMs, FaultAtMs);
+    REQUIRE(play.isShared());
+    const auto sentAt = play.at();
+    play.play(FaultAtMs + readAfterMs, FaultAtMs);
+    play.first().onRequesterContact("entry/1", play.at());
+    play.first().cancel("job", "entry/1", sentAt, play.at());
+    play.checkResubmission();
+}
+
+TEST_CASE("runs for a caller of the holder itself end before their job is sent again",
+          "[resubmission]")
+{
+    // Guards against the same at an entry that was paused when its caller left.
+    const auto pauseMs = GENERATE(0.0, 300.0, 500.0, 700.0, 1'000.0);
+    CAPTURE(pauseMs);
     ResentJob play(1.0);
     play.play(FaultAtMs, FaultAtMs);
-    play.first().cancel("job", "entry/1", play.at());
-    play.play(FaultAtMs + ResendMs, EndMs);
-    play.resend();
+    REQUIRE(play.isShared());
+    const auto lastLookAt = play.at();
+    play.world.paused.insert(&play.first());
+    play.play(FaultAtMs + pauseMs, 0);
+    play.world.paused.clear();
+    play.first().cancel("other", {}, lastLookAt, play.at());
+    play.play(FaultAtMs + ResendMs, FaultAtMs + ResendMs);
+    play.last().submit(makeJob("other", 6), "entry/2", play.at());
     play.play(EndMs, EndMs);
     CHECK(play.world.doubleRuns == 0);
 }
@@ -261,18 +353,19 @@
           "[resubmission]")
 {
     // Guards against timeouts that add up: the holder renews the lease until it has lost the entry,
-    // and is then cut off from the instance.
+    // and is then cut off from the instance, or its stops are lost.
     const auto cutAfterMs = GENERATE(range(0, 1'300, 50));
-    CAPTURE(cutAfterMs);
-    ResentJob play;
+    const auto lostStops = GENERATE(0.0, 1.0);
+    CAPTURE(cutAfterMs, lostStops);
+    ResentJob play(lostStops);
     const auto cutAtMs = FaultAtMs + cutAfterMs;
     play.world.isCut = [&](const RunScheduler &holder, const std::string &) {
-        return &holder == &play.first() && play.world.now >= cutAtMs;
+        return lostStops == 0 && &holder == &play.first() && play.world.now >= cutAtMs;
     };
+    play.play(FaultAtMs, FaultAtMs);
+    REQUIRE(play.isShared());
     play.play(FaultAtMs + ResendMs, FaultAtMs + MaxMessageAgeMs);
-    play.resend();
-    play.play(EndMs, 0);
-    CHECK(play.world.doubleRuns == 0);
+    play.checkResubmission();
 }
 
 TEST_CASE("the runs of a killed entry end in time at a holder that is cut off from its requester",
@@ -284,12 +377,12 @@
     CAPTURE(cutAfterMs);
     ResentJob play(0, 3, 7);
     play.world.offersRuns = true;
+    play.play(FaultAtMs, FaultAtMs);
+    REQUIRE(play.holders[1]->acceptedRunCount() > 0);
     play.play(FaultAtMs + cutAfterMs, FaultAtMs + MaxMessageAgeMs);
     play.world.areHoldersCut = true;
     play.play(FaultAtMs + ResendMs, FaultAtMs + MaxMessageAgeMs);
-    play.resend();
-    play.play(EndMs, 0);
-    CHECK(play.world.doubleRuns == 0);
+    play.checkResubmission();
 }
 
 TEST_CASE("runs of a former holder end in time although their stops go unanswered",
@@ -300,13 +393,24 @@
     CAPTURE(takenOverAfterMs);
     ResentJob play(1.0);
     play.play(FaultAtMs, FaultAtMs);
+    REQUIRE(play.runsIn(false));
     play.world.paused.insert(&play.first());
     play.play(FaultAtMs + takenOverAfterMs, 0);
     (void)play.world.addHolder(2, makeConfiguration(), 0, 3);
-    play.play(FaultAtMs + ResendMs, 0);
-    play.resend();
-    play.play(EndMs, 0);
-    CHECK(play.world.doubleRuns == 0);
+    play.checkResubmission();
+}
+
+TEST_CASE("an instance that replies is not lost when a lease runs out because of a lost stop",
+          "[resubmission]")
+{
+    // Guards against tasks that are taken for the cause of a crash, because they ran beside a run
+    // that could not be stopped.
+    ResentJob play(1.0);
+    play.play(FaultAtMs, FaultAtMs);
+    REQUIRE(play.isShared());
+    play.play(FaultAtMs + ResendMs, FaultAtMs);
+    CHECK_FALSE(play.runsIn(false));
+    CHECK(play.first().takeLosses().empty());
 }
 
 TEST_CASE("no task runs twice under generated faults while callers send their jobs again",
@@ -333,7 +437,10 @@
     const ResubmissionSettings settings{Milliseconds{resendMs}, Milliseconds{maxLeaseMs}, 0.02};
     const auto made = ResubmissionTimeouts::make(settings);
     REQUIRE(made);
-    CHECK(made.value().latestRunEnd().count() < resendMs);
+    const auto &timeouts = made.value();
+    const double slowestLeaseMs = timeouts.lease().count() / (1 - settings.clockDrift);
+    CHECK(timeouts.maxRequestAge().count() + timeouts.renewalTimeout().count() < resendMs);
+    CHECK(timeouts.maxRequestAge().count() + slowestLeaseMs < resendMs);
     CHECK(made.value().holderTimeout() < made.value().requesterTimeout());
     CHECK(made.value().requesterTimeout() < made.value().renewalTimeout());
     CHECK(made.value().lease().count() < maxLeaseMs);
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -160,7 +160,7 @@
     world.run(20);
     holder.submit(makeJob("job", "long", 4, 900), {}, Milliseconds{world.now});
     world.run(60);
-    holder.cancel("job", {}, Milliseconds{world.now});
+    holder.cancel("job", {}, Milliseconds{world.now}, Milliseconds{world.now});
     world.run(80);
     for (const auto &[id, instance] : world.instances())
         CHECK(instance.running().empty());
@@ -337,7 +337,7 @@
                           {}, Milliseconds{world.now});
         if (random() % 400 == 0 && serial > 0)
             holder.cancel("job" + std::to_string(1 + random() % serial), {},
-                          Milliseconds{world.now});
+                          Milliseconds{world.now}, Milliseconds{world.now});
         world.run(world.now + 1);
     }
     world.run(24'000);
@@ -501,7 +501,7 @@
     REQUIRE(second.acceptedRunCount() > 0);
     const std::string_view how = cause;
     if (how == "cancelled")
-        first.cancel("wide", "entry/1", Milliseconds{world.now});
+        first.cancel("wide", "entry/1", Milliseconds{world.now}, Milliseconds{world.now});
     if (how == "holder lost")
         world.paused.insert(&first);
     if (how == "holder paused")
@@ -552,7 +552,7 @@
                           {}, Milliseconds{world.now});
         if (random() % 400 == 0 && serial > 0)
             holder.cancel("job" + std::to_string(1 + random() % serial), {},
-                          Milliseconds{world.now});
+                          Milliseconds{world.now}, Milliseconds{world.now});
         if (random() % 1'500 == 0 && world.paused.empty()) {
             world.paused.insert(&holder);
             resumeAt = world.now + 100 + static_cast<double>(random() % 2'000);
@@ -580,7 +580,7 @@
     holder.submit(job, "entry/1", Milliseconds{world.now});
     world.run(30);
     holder.submit(job, "entry/2", Milliseconds{world.now});
-    holder.cancel("job", "entry/1", Milliseconds{world.now});
+    holder.cancel("job", "entry/1", Milliseconds{world.now}, Milliseconds{world.now});
     world.run(200);
     REQUIRE(world.outcomes.contains("job"));
     CHECK(world.outcomes.at("job").verdict == JobVerdict::Completed);
@@ -603,7 +603,7 @@
     const auto first = holder.submit(job, {}, Milliseconds{world.now});
     const auto earlier = offerOf(first);
     const auto key = earlier.runs.front().key;
-    holder.cancel("job", {}, Milliseconds{world.now});
+    holder.cancel("job", {}, Milliseconds{world.now}, Milliseconds{world.now});
     const auto second = holder.submit(job, {}, Milliseconds{world.now});
     REQUIRE(second.submission > first.submission);
     const auto offer = offerOf(second);
@@ -618,7 +618,7 @@
     holder.onRemoteHolderLost(first, now);
     CHECK(holder.hasJob(second));
     CHECK_FALSE(holder.hasJob(first));
-    holder.cancel("job", {}, now);
+    holder.cancel("job", {}, now, now);
     const auto stops = holder.takeRemoteStops();
     REQUIRE(stops.size() == 1);
     CHECK(stops.front() == RemoteStop{"third", {second, {key}}});
