Take no instance for lost that has replied until its lease ran out

A lease that has run out although the instance replied within half a lease is no loss. The test covers both, with and without replies.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -16,6 +16,8 @@
 /// After this many consecutive missing replies, nothing is started until the instance replies.
 constexpr int MaxMissedReplies = 1;
 constexpr std::uint64_t SerialsPerIncarnation = 1'024;
+/// An instance that has replied within this share of a lease is not lost.
+constexpr double RecentReplyShare = 0.5;
 /// Share of a lease that must be left for new runs where an abandoned run limits its renewal.
 constexpr double MinLeaseShare = 0.5;
 /// Delay of new starts after an instance unexpectedly had no room.
@@ -129,8 +131,6 @@
     m_clockAt = now;
 }
 
-Milliseconds LeasedInstance::abandonedLimit() const
-{
 double LeasedInstance::slowClockAt(Milliseconds time) const
 {
     return *m_clockMs + (time - m_clockAt).count() * (1.0 - m_settings.clockDrift);
@@ -141,6 +141,8 @@
     return !m_clockMs || m_leaseUntilMs > slowClockAt(time);
 }
 
+Milliseconds LeasedInstance::abandonedLimit() const
+{
     auto limit = NoRenewalLimit;
     for (const auto &[key, run] : m_runs)
         limit = std::min(limit, run.renewalLimit);
@@ -165,7 +167,12 @@
         m_runs, [&](const auto &it) { return mayOutliveLease(it.second, now); });
     if (m_runs.empty() || isLeaseValid || mayOutlive)
         return;
-    endAll(now);
+    // Where a run that could not be stopped has kept the lease from being renewed, the instance
+    // still replies.
+    const bool hasReplied = m_clockMs && now - m_clockAt < m_settings.lease * RecentReplyShare;
+    if (!hasReplied)
+        recordLoss();
+    endRuns(now);
     m_isSynced = false;
     // Starts without a reply may have been among them.
     ++m_session;
@@ -225,6 +232,11 @@
 void LeasedInstance::endAll(Milliseconds now)
 {
     recordLoss();
+    endRuns(now);
+}
+
+void LeasedInstance::endRuns(Milliseconds now)
+{
     while (!m_runs.empty())
         finish(m_runs.begin(), RunEnd::LeaseExpired, now);
 }
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -244,6 +244,7 @@
     /// The known incarnation is lost, with all runs that it may have. Does nothing if it was about
     /// to leave.
     void recordLoss();
+    void endRuns(Milliseconds now);
     void onEnds(const std::vector<EndedRun> &ended, Milliseconds now);
     void onRunning(const HoldReply &reply, Milliseconds now);
 
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -443,3 +443,24 @@
     CHECK(instance.isLeasedBeyond(Milliseconds{700}));
     CHECK_FALSE(instance.isLeasedBeyond(Milliseconds{900}));
 }
+
+TEST_CASE("an instance that replies is not lost when its lease runs out", "[leased]")
+{
+    // Guards against tasks that are taken for the cause of a crash, because they ran beside a run
+    // that could not be stopped.
+    const bool replies = GENERATE(false, true);
+    CAPTURE(replies);
+    auto instance = makeSynced();
+    const auto first = startAt(instance, "a.0.0.0", Milliseconds{10});
+    const auto second = startAt(instance, "b.0.0.0", Milliseconds{10});
+    listRuns(instance, {{first, 1}, {second, 1}}, Milliseconds{20});
+    instance.abandon(first, AbandonReason::Unwanted, Milliseconds{30}, Milliseconds{30});
+    for (const double at : {300.0, 600.0, 800.0}) {
+        if (replies)
+            listRuns(instance, {{first, 1}, {second, 1}}, Milliseconds{at});
+    }
+    constexpr Milliseconds AfterLease{850};
+    instance.expireLeases(AfterLease);
+    CHECK(instance.takeResults().size() == 2);
+    CHECK(instance.takeLosses().empty() == replies);
+}
