Share the set-up of two tests, and tell holds of sessions apart by the session

The report and the job of LeasedInstanceTest and OrderFencingTest stood twice. Replies to holds of an earlier session are dropped by its number (RunScheduler::onHoldReply), so the serial need not begin at another value for each incarnation; a task's suspicion is looked up once for each start.

--- a/src/InstanceOrders.h
+++ b/src/InstanceOrders.h
@@ -63,7 +63,7 @@
     std::optional<std::uint64_t> leaseUntilMs;
     std::uint64_t ackedThrough = 0; ///< The instance discards ends up to this number.
     std::uint32_t waitMs = 0; ///< How long the reply waits for an end.
-    std::uint64_t serial = 0; ///< Counts the holds of one holder; not transmitted.
+    std::uint64_t serial = 0; ///< Increases within a session; not transmitted.
 
     auto operator<=>(const HoldOrder &) const = default;
 };
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t MaxListedEnds = 500;
 /// After this many consecutive missing replies, nothing is started until the instance replies.
 constexpr int MaxMissedReplies = 1;
-constexpr std::uint64_t SerialsPerIncarnation = 1'024;
 /// An instance that has replied within this share of a lease is not lost.
 constexpr double RecentReplyShare = 0.5;
 /// Share of a lease that must be left for new runs where an abandoned run limits its renewal.
@@ -44,8 +43,6 @@
     , m_report(std::move(report))
     , m_token(token)
     , m_session(session)
-    // Replies to holds of an earlier incarnation must not match.
-    , m_holdSerial(m_report.key.startTimeMs * SerialsPerIncarnation)
 {
 }
 
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -153,7 +153,8 @@
                       std::optional<std::uint64_t> session = std::nullopt);
     void onStopReply(const RunKey &key, const OrderReply &reply, Milliseconds now,
                      std::optional<std::uint64_t> session = std::nullopt);
-    /// @param serial of the order; a reply to any order but the last one is ignored.
+    /// @param serial of the order, which must be of the present session; a reply to any order but
+    /// the last one is ignored.
     void onHoldReply(std::uint64_t serial, const HoldReply &reply, Milliseconds now);
 
     /// Ends runs whose lease has certainly expired on the instance's clock.
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -290,7 +290,7 @@
     [[nodiscard]] std::size_t countPlaceable(const Job &job, std::size_t step, Milliseconds now);
     [[nodiscard]] static std::size_t countWaiting(const Job &job, std::size_t step);
     void startTask(Job &job, std::size_t step, std::size_t index, LeasedInstance &instance,
-                   Milliseconds now);
+                   TaskSuspicion suspicion, Milliseconds now);
     /// Starts all waiting tasks of a job that find room. @return whether all have started.
     bool startTasks(Job &job, Milliseconds now);
     [[nodiscard]] bool hasWaitingTask(const Job &job) const;
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -168,7 +168,7 @@
 }
 
 void RunScheduler::startTask(Job &job, std::size_t step, std::size_t index,
-                             LeasedInstance &instance, Milliseconds now)
+                             LeasedInstance &instance, TaskSuspicion suspicion, Milliseconds now)
 {
     auto &task = job.tasks[step][index];
     const auto &jobStep = job.job.steps[step];
@@ -180,7 +180,7 @@
     const auto expected = expectedTime(job, jobStep) * m_health.slowdown(id);
     const RunKey key{taskName(job.job.id, step, index), task.runs};
     chargeQueue(job.rule.name, jobStep, expected);
-    const bool isExclusive = suspicionOf(job, step, index) != TaskSuspicion::None;
+    const bool isExclusive = suspicion != TaskSuspicion::None;
     const auto limit = std::min(renewalLimit(instance, now), renewalLimit(key, now));
     m_starts.push_back(
         instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive, limit));
@@ -215,7 +215,7 @@
                 continue;
             }
             take(*candidate, job.job.steps[step], suspicion);
-            startTask(job, step, index, *candidate->instance, now);
+            startTask(job, step, index, *candidate->instance, suspicion, now);
         }
     }
     return isComplete;
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -1,27 +1,17 @@
 /// @file What a holder can infer with certainty about the runs of one instance.
 #include "LeasedInstance.h"
+#include "InstanceReports.h"
 #include "RunScheduler.h"
 
 #include <catch2/catch.hpp>
 
 using namespace Camphor;
+using namespace Camphor::Testing;
 
 namespace {
 
 constexpr double ClockMs = 50'000; ///< The instance's clock at the holder's time 0.
 
-InstanceReport makeReport()
-{
-    InstanceReport report;
-    report.key = {"worker-1", 1'000};
-    report.sequence = 1;
-    report.service = "service";
-    report.address = "127.0.0.1:1";
-    report.domain = "north";
-    report.capacity = {32'000, 1'000, 0};
-    return report;
-}
-
 HoldReply listOf(Milliseconds now, std::vector<RunningRun> running, std::vector<EndedRun> ended)
 {
     return {OrderResult::Accepted, ClockMs + now.count(), 0, std::move(running), std::move(ended)};
--- a/test/correctness/OrderFencingTest.cpp
+++ b/test/correctness/OrderFencingTest.cpp
@@ -1,26 +1,16 @@
 /// @file Which orders an instance must refuse because they were meant for an earlier incarnation.
+#include "InstanceReports.h"
 #include "RunScheduler.h"
 
 #include <catch2/catch.hpp>
 
 using namespace Camphor;
+using namespace Camphor::Testing;
 
 namespace {
 
 constexpr std::uint64_t Token = 7;
 
-InstanceReport makeReport(std::uint64_t startTimeMs)
-{
-    InstanceReport report;
-    report.key = {"worker-1", startTimeMs};
-    report.sequence = 1;
-    report.service = "service";
-    report.address = "127.0.0.1:1";
-    report.domain = "north";
-    report.capacity = {32'000, 1'000, 0};
-    return report;
-}
-
 FleetConfiguration makeConfiguration()
 {
     QueueRule rule;
@@ -57,6 +47,17 @@
         scheduler.setInstances({{"worker-1", report}}, {{"worker-1", Token}}, now);
     }
 
+    /// Reads the lists, submits a job of one task, and returns the order to start it.
+    StartOrder startJob()
+    {
+        run(10);
+        (void)scheduler.submit(makeJob(), {}, now);
+        scheduler.advance(now);
+        const auto starts = scheduler.takeStarts();
+        REQUIRE(starts.size() == 1);
+        return starts.front();
+    }
+
     /// Lets the scheduler act for some time, and returns the token of the last hold.
     std::uint64_t run(double ms)
     {
@@ -90,12 +91,8 @@
     const std::string_view sign = GENERATE("report", "list", "disconnection", "left and returned");
     CAPTURE(sign);
     OneInstance world;
-    world.run(10);
-    (void)world.scheduler.submit(makeJob(), {}, world.now);
-    world.scheduler.advance(world.now);
-    const auto starts = world.scheduler.takeStarts();
-    REQUIRE(starts.size() == 1);
-    world.scheduler.onStartReply(starts.front(), {}, world.now);
+    const auto start = world.startJob();
+    world.scheduler.onStartReply(start, {}, world.now);
     world.scheduler.cancel("job", {}, world.now, world.now);
     if (sign == "report")
         world.report(2'000);
@@ -113,7 +110,7 @@
             world.scheduler.onHoldReply(order, {OrderResult::Accepted, 100, 2'000, {}, {}},
                                         world.now);
     }
-    CHECK(world.run(50) > starts.front().target.fencingToken());
+    CHECK(world.run(50) > start.target.fencingToken());
 }
 
 TEST_CASE("a reply to an order of an earlier session says nothing about the present incarnation",
@@ -125,21 +122,17 @@
                                  OrderResult::NotSent, OrderResult::Unhealthy);
     CAPTURE(orderResultName(result));
     OneInstance world;
-    world.run(10);
-    (void)world.scheduler.submit(makeJob(), {}, world.now);
-    world.scheduler.advance(world.now);
-    const auto starts = world.scheduler.takeStarts();
-    REQUIRE(starts.size() == 1);
+    const auto start = world.startJob();
     world.report(2'000);
     world.run(5);
     constexpr double FormerClockMs = 5'000'000;
-    world.scheduler.onStartReply(starts.front(), {result, FormerClockMs, 0}, world.now);
+    world.scheduler.onStartReply(start, {result, FormerClockMs, 0}, world.now);
     world.run(5);
     CHECK(world.scheduler.usableInstances(world.now) == 1);
     CHECK(world.scheduler.takeResults().empty());
     const auto again = world.scheduler.takeStarts();
     REQUIRE(again.size() == 1);
-    CHECK(again.front().key.run > starts.front().key.run);
+    CHECK(again.front().key.run > start.key.run);
     CHECK(again.front().leaseUntilMs < FormerClockMs);
 }
 
@@ -185,11 +178,8 @@
 {
     // Guards against a live instance that stays given up because its holder was fenced off once.
     OneInstance world;
-    world.run(10);
-    (void)world.scheduler.submit(makeJob(), {}, world.now);
-    world.scheduler.advance(world.now);
-    for (const auto &order : world.scheduler.takeStarts())
-        world.scheduler.onStartReply(order, {OrderResult::Fenced, std::nullopt, 0}, world.now);
+    world.scheduler.onStartReply(world.startJob(), {OrderResult::Fenced, std::nullopt, 0},
+                                 world.now);
     world.run(5);
     REQUIRE(world.scheduler.usableInstances(world.now) == 0);
     world.scheduler.setInstances({{"worker-1", makeReport(1'000)}}, {{"worker-1", Token + 2}},
