Derive the intervals of pings and holds from the time after which callers resend

Where callers resend after 600 ms, a requester was lost after 324 ms, but pinged only every 200 to 400 ms; and with a longest lease of 50 ms a hold waited for 150 ms.

The ping interval, the wait of holds and the pause after which a holder drops its requesters' jobs are derived with the other timeouts now, and the test checks how they relate.

--- a/src/ResubmissionTimeouts.cpp
+++ b/src/ResubmissionTimeouts.cpp
@@ -12,6 +12,14 @@
 constexpr double RequestAgeShare = 0.23;
 constexpr double RenewalTimeoutShare = 0.75;
 constexpr double LeaseOfResendShare = 0.62;
+constexpr double PingPeriodShare = 0.16;
+constexpr double PauseThresholdShare = 0.4;
+/// A hold that waits for longer leaves no time to renew the lease.
+constexpr double HoldWaitOfLeaseShare = 0.2;
+/// Longer ones find out too late what has happened.
+constexpr Milliseconds MaxPingPeriod{200};
+constexpr Milliseconds MaxPauseThreshold{500};
+constexpr Milliseconds MaxHoldWait{150};
 /// Share of the longest lease that is requested, because the instance's clock may be ahead of the
 /// estimate.
 constexpr double LeaseShare = 0.9;
@@ -23,7 +31,10 @@
     , m_requesterTimeout(settings.resendAfter * RequesterTimeoutShare)
     , m_maxRequestAge(settings.resendAfter * RequestAgeShare)
     , m_renewalTimeout(settings.resendAfter * RenewalTimeoutShare)
+    , m_pingPeriod(std::min(MaxPingPeriod, settings.resendAfter * PingPeriodShare))
+    , m_pauseThreshold(std::min(MaxPauseThreshold, settings.resendAfter * PauseThresholdShare))
     , m_lease(std::min(settings.maxLease * LeaseShare, settings.resendAfter * LeaseOfResendShare))
+    , m_holdWait(std::min(MaxHoldWait, m_lease * HoldWaitOfLeaseShare))
     , m_clockDrift(settings.clockDrift)
 {
 }
--- a/src/ResubmissionTimeouts.h
+++ b/src/ResubmissionTimeouts.h
@@ -33,6 +33,13 @@
     [[nodiscard]] Milliseconds requesterTimeout() const { return m_requesterTimeout; }
     /// What a requester sent before it ended is handled within this time, or not at all.
     [[nodiscard]] Milliseconds maxRequestAge() const { return m_maxRequestAge; }
+    /// Interval at which a requester shows a holder that it is there; the longest gap is twice
+    /// this.
+    [[nodiscard]] Milliseconds pingPeriod() const { return m_pingPeriod; }
+    /// Maximum wait of an order that renews a lease.
+    [[nodiscard]] Milliseconds holdWait() const { return m_holdWait; }
+    /// A longer pause of a holder ends the jobs of its requesters.
+    [[nodiscard]] Milliseconds pauseThreshold() const { return m_pauseThreshold; }
     /// Shorter than renewalTimeout(), so that a run may start beside others whose lease was just
     /// renewed, some time after the last contact with its own requester.
     [[nodiscard]] Milliseconds lease() const { return m_lease; }
@@ -53,7 +60,10 @@
     Milliseconds m_requesterTimeout;
     Milliseconds m_maxRequestAge;
     Milliseconds m_renewalTimeout;
+    Milliseconds m_pingPeriod;
+    Milliseconds m_pauseThreshold;
     Milliseconds m_lease;
+    Milliseconds m_holdWait;
     double m_clockDrift;
 };
 
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -445,6 +445,10 @@
     CHECK(made.value().holderTimeout() < made.value().requesterTimeout());
     CHECK(made.value().requesterTimeout() < made.value().renewalTimeout());
     CHECK(made.value().lease().count() < maxLeaseMs);
+    // A requester that is there must not be taken for lost, nor a lease run out for want of orders.
+    CHECK(timeouts.pingPeriod() * 3 < timeouts.requesterTimeout());
+    CHECK(timeouts.holdWait() * 4 < timeouts.lease());
+    CHECK(timeouts.pauseThreshold() < timeouts.requesterTimeout());
 }
 
 TEST_CASE("timeouts are refused if an instance's clock is too slow for them", "[resubmission]")
