Read the lists again when a lease has run out while a hold was in flight

An instance that replied could stay unused for good: when its lease ran out, a new session began, but the hold in flight stayed noted; its reply, of the former session, was dropped, and no other hold was sent until a disconnection.

The new test fails without the change (no hold is sent) and passes with it.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -170,7 +170,8 @@
     if (!hasReplied)
         recordLoss();
     endRuns(now);
-    m_isSynced = false;
+    // The reply to a hold in flight is one of the former session.
+    invalidate();
     // Starts without a reply may have been among them.
     ++m_session;
 }
--- a/test/correctness/LeasedInstanceTest.cpp
+++ b/test/correctness/LeasedInstanceTest.cpp
@@ -454,3 +454,18 @@
     CHECK(instance.takeResults().size() == 2);
     CHECK(instance.takeLosses().empty() == replies);
 }
+
+TEST_CASE("an instance whose lease ran out during a hold has its lists read again", "[leased]")
+{
+    // Guards against a reachable instance that stays unused, because the hold in flight belongs to
+    // the former session and its reply is ignored.
+    auto instance = makeSynced();
+    const auto key = startAt(instance, "a.0.0.0", Milliseconds{10});
+    listRuns(instance, {{key, 1}}, Milliseconds{20});
+    REQUIRE(instance.nextHold(Milliseconds{30}));
+    constexpr Milliseconds AfterLease{900};
+    instance.expireLeases(AfterLease);
+    REQUIRE(instance.runCount() == 0);
+    listRuns(instance, {}, AfterLease);
+    CHECK(instance.isUsable(AfterLease));
+}
