Count the ages in a late ping from when it was sent, and tell none after a pause

A ping that a slow link had held up for 400 to 590 ms counted from when it was read, with the ages of when it was sent; and a holder that resumed from a pause could tell the age of its own callers as 0 before it had looked at their connections. With stops that go unanswered, the runs could last that much longer than the sum.

The ages of a late ping count from its lower bound. After 0.75 of a ping period without a scheduling pass, a holder sends a ping without ages and looks at its callers first; this was 150 ms whatever the settings. By reading only: the paths run through real connections and have no test of their own.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -17,8 +17,8 @@
 constexpr std::uint32_t NoHolderRetryMs = 1'000;
 /// Reasons after which another holder is tried.
 constexpr const char *NotHolderReason = "not-holder";
-/// After a longer time without scheduling, the connections of the callers are looked at first.
-constexpr Milliseconds MaxUnnoticedPause{150};
+/// Share of the ping period.
+constexpr double UnnoticedPauseShare = 0.75;
 /// Interval at which a leaving entry checks whether its runs have ended.
 constexpr Milliseconds LeavePeriod{50};
 /// Time for the control group to learn that this entry leaves.
@@ -467,7 +467,7 @@
     m_scheduler.onRequesterContact(requester, readAt);
     switch (kind) {
     case MessageKind::Ping:
-        return onPing(requester, payload, reply, readAt);
+        return onPing(requester, payload, reply, readAt, peer.sentAfter);
     case MessageKind::SubmitJob:
         return onSubmit(requester, payload, reply);
     case MessageKind::CancelJob: {
@@ -488,20 +488,32 @@
     }
 }
 
+bool FleetEntry::wasUnnoticedPause(Milliseconds now) const
+{
+    return now - m_scheduledAt > m_settings.link.pingPeriod * UnnoticedPauseShare;
+}
+
 std::string FleetEntry::pingPayload(const std::string &address) const
 {
-    const auto ages = m_scheduler.requesterAges(address, m_clock.now());
+    const auto now = m_clock.now();
+    // After a pause, nothing is said of callers whose connections have not been looked at.
+    if (wasUnnoticedPause(now))
+        return {};
+    const auto ages = m_scheduler.requesterAges(address, now);
     return ages.jobs.empty() ? std::string() : encodeMessage(ages);
 }
 
 void FleetEntry::onPing(const std::string &requester, const std::string &payload,
-                        const RpcReply &reply, Milliseconds readAt)
+                        const RpcReply &reply, Milliseconds readAt, Milliseconds sentAfter)
 {
     if (!payload.empty()) {
+        // The ages in a ping that was late are those of the time when it was sent.
+        const bool wasLate = readAt - sentAfter > m_settings.maxRequestAge;
+        const auto agesAt = wasLate ? sentAfter : readAt;
         const auto ages = decodeOrReject<RequesterAges>(payload, reply);
         if (!ages)
             return;
-        m_scheduler.onRequesterAges(requester, *ages, readAt);
+        m_scheduler.onRequesterAges(requester, *ages, agesAt);
     }
     reply(std::string());
 }
@@ -572,7 +584,7 @@
         self->m_isScheduling = false;
         const auto now = self->m_clock.now();
         // No lease is renewed for callers that have left while this process did not run.
-        if (now - self->m_scheduledAt > MaxUnnoticedPause)
+        if (self->wasUnnoticedPause(now))
             self->abandonUnwantedJobs();
         self->m_scheduledAt = now;
         std::vector<std::string> reachable;
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -161,10 +161,12 @@
     void onRpc(const RpcPeer &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply, Milliseconds readAt);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
+    /// Whether there was so long no scheduling pass that callers may have left unnoticed.
+    [[nodiscard]] bool wasUnnoticedPause(Milliseconds now) const;
     /// The requesters of the jobs with runs at another holder, for it; empty if there are none.
     [[nodiscard]] std::string pingPayload(const std::string &address) const;
     void onPing(const std::string &requester, const std::string &payload, const RpcReply &reply,
-                Milliseconds readAt);
+                Milliseconds readAt, Milliseconds sentAfter);
 
     void schedule();
     /// Tells the control group under which tasks instances were lost.
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -160,9 +160,10 @@
     /// @param wantedAt as for cancel().
     void stopOffered(const StopRunsRequest &request, const std::string &requester,
                      Milliseconds wantedAt, Milliseconds now);
-    /// Processes what a requester knows of the requesters of its jobs.
-    /// @param now when its message was read.
-    void onRequesterAges(const std::string &requester, const RequesterAges &ages, Milliseconds now);
+    /// The holder that offered runs tells when the requesters of their jobs were last in contact.
+    /// @param agesAt the time from which the ages count.
+    void onRequesterAges(const std::string &requester, const RequesterAges &ages,
+                         Milliseconds agesAt);
     /// Accepted runs that have ended since the last call.
     [[nodiscard]] std::vector<AcceptedRunEnd> takeAcceptedEnds()
     {
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -150,11 +150,11 @@
 // --- Runs accepted from other holders
 
 void RunScheduler::onRequesterAges(const std::string &requester, const RequesterAges &ages,
-                                   Milliseconds now)
+                                   Milliseconds agesAt)
 {
     std::map<JobKey, Milliseconds> wantedAt;
     for (const auto &[job, ageMs] : ages.jobs)
-        wantedAt[job] = now - Milliseconds{ageMs};
+        wantedAt[job] = agesAt - Milliseconds{ageMs};
     for (auto &[key, run] : m_acceptedRuns) {
         const auto place = run.requester == requester ? parseTaskName(key.task) : std::nullopt;
         if (!place)
