Renew a lease also where its bound is only assumed

After a foreign run or a restart, the holder assumes the longest lease that the instance may have granted. Since, a hold was sent without a renewal until that had nearly passed, although nothing had granted it, so that a run could lapse needlessly. A hold renews again whenever the limit lies ahead; a deadline never shortens a lease. Found by reading; the model's tests pass.

--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -324,8 +324,8 @@
         const auto wait = isUncertain ? m_settings.uncertainHoldWait : m_settings.holdWait;
         order.waitMs = isUnanswered ? 0 : static_cast<std::uint32_t>(wait.count());
         const auto until = renewableUntil(now, renewalLimit);
-        if (until > m_leaseUntilMs) {
-            m_leaseUntilMs = until;
+        if (until > clockAt(now)) {
+            m_leaseUntilMs = std::max(m_leaseUntilMs, until);
             order.leaseUntilMs = static_cast<std::uint64_t>(until);
         }
     }
