--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -100,7 +100,7 @@
     served.maxRequestAge = m_settings.maxRequestAge;
     auto server = RpcServer::make(
         m_io, Address::parse(m_settings.self.address).value(), served,
-        [self = shared_from_this()](const RpcPeer &peer, MessageKind kind,
+        [self = shared_from_this()](const RequestOrigin &peer, MessageKind kind,
                                     const std::string &payload, const RpcReply &reply) {
             const auto readAt = self->m_clock.now();
             boost::asio::post(self->m_io, [=] {
@@ -457,7 +457,7 @@
 
 // --- Jobs of other entries
 
-void FleetEntry::onRpc(const RpcPeer &peer, MessageKind kind, const std::string &payload,
+void FleetEntry::onRpc(const RequestOrigin &peer, MessageKind kind, const std::string &payload,
                        const RpcReply &reply, Milliseconds readAt)
 {
     // A requester that has lost its connection has given up the jobs that it submitted on it, so
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -43,9 +43,9 @@
     std::size_t maxStartWaiters = 1'000;
     /// Delay before holders are tried again.
     Milliseconds rerouteDelay{30};
-    /// A request of another entry that is older is handled only if that entry still waits. Together
-    /// with the timeout of a lost requester, this must be shorter than the time after which callers
-    /// resend.
+    /// A request of another entry that is older is handled only if that entry still waits, or if it
+    /// only ends work. Together with SchedulerSettings::renewalTimeout, this must be shorter than
+    /// the time after which callers resend.
     Milliseconds maxRequestAge{300};
 };
 
@@ -158,7 +158,7 @@
     void respond(const std::string &jobId, const JobOutcome &outcome);
 
     /// @param readAt when the request was read; its sender was in contact then.
-    void onRpc(const RpcPeer &peer, MessageKind kind, const std::string &payload,
+    void onRpc(const RequestOrigin &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply, Milliseconds readAt);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
     /// Whether there was so long no scheduling pass that callers may have left unnoticed.
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -15,9 +15,9 @@
 constexpr std::size_t MaxListedEnds = 500;
 /// After this many consecutive missing replies, nothing is started until the instance replies.
 constexpr int MaxMissedReplies = 1;
-/// An instance that has replied within this share of a lease is not lost.
+/// If the instance has replied within this share of a lease, the expiry of its lease is no loss.
 constexpr double RecentReplyShare = 0.5;
-/// Share of a lease that must be left for new runs where an abandoned run limits its renewal.
+/// Nothing is started unless the renewal limits of the abandoned runs leave this share of a lease.
 constexpr double MinLeaseShare = 0.5;
 /// Delay of new starts after an instance unexpectedly had no room.
 constexpr Milliseconds NoRoomDelay{20};
@@ -92,7 +92,8 @@
 {
     return isSynced() && !m_isFenced && !m_isOtherIncarnation && !m_isReportOutdated && m_clockMs
         && m_report.state == InstanceState::Ready && m_missedReplies < MaxMissedReplies
-        && now >= m_backoffUntil && abandonedLimit() - now >= m_settings.lease * MinLeaseShare;
+        && now >= m_backoffUntil
+        && abandonedRenewalLimit() - now >= m_settings.lease * MinLeaseShare;
 }
 
 std::size_t LeasedInstance::runsWithPrefix(const std::string &prefix) const
@@ -138,7 +139,7 @@
     return !m_clockMs || m_leaseUntilMs > slowClockAt(time);
 }
 
-Milliseconds LeasedInstance::abandonedLimit() const
+Milliseconds LeasedInstance::abandonedRenewalLimit() const
 {
     auto limit = NoRenewalLimit;
     for (const auto &[key, run] : m_runs)
@@ -148,9 +149,10 @@
 
 double LeasedInstance::renewableUntil(Milliseconds now, Milliseconds renewalLimit) const
 {
-    const auto limit = std::min(renewalLimit, abandonedLimit());
-    // A slow clock reaches the limit later. What it has lost since the last reading cannot be
-    // known, and must not end the lease before it begins.
+    const auto limit = std::min(renewalLimit, abandonedRenewalLimit());
+    // The instance's clock may be slow, so the time to the limit is shortened by the drift. The
+    // drift since the last reading is not deducted: after a long idle time it would exceed the
+    // lease.
     const auto untilLimit = (limit - now) * (1.0 - m_settings.clockDrift);
     const auto until = clockAt(now) + std::min(m_settings.lease, untilLimit).count();
     return std::max(0.0, std::floor(until));
@@ -164,8 +166,8 @@
         m_runs, [&](const auto &it) { return mayOutliveLease(it.second, now); });
     if (m_runs.empty() || isLeaseValid || mayOutlive)
         return;
-    // Where a run that could not be stopped has kept the lease from being renewed, the instance
-    // still replies.
+    // A lease also runs out on an instance that replies, if an abandoned run has limited its
+    // renewal. That is no loss of the instance.
     const bool hasReplied = m_clockMs && now - m_clockAt < m_settings.lease * RecentReplyShare;
     if (!hasReplied)
         recordLoss();
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -224,7 +224,7 @@
     /// A lower bound of the instance's clock, which may be slow.
     [[nodiscard]] double slowClockAt(Milliseconds time) const;
     /// The earliest renewal limit of the abandoned runs.
-    [[nodiscard]] Milliseconds abandonedLimit() const;
+    [[nodiscard]] Milliseconds abandonedRenewalLimit() const;
     /// Until when the next order may renew the lease, on the instance's clock.
     [[nodiscard]] double renewableUntil(Milliseconds now, Milliseconds renewalLimit) const;
     void updateClock(const std::optional<double> &clockMs, Milliseconds now);
--- a/src/ResubmissionTimeouts.h
+++ b/src/ResubmissionTimeouts.h
@@ -47,9 +47,9 @@
     /// runs, so that a second fault, such as a stop without a reply, adds nothing to it.
     [[nodiscard]] Milliseconds renewalTimeout() const { return m_renewalTimeout; }
 
-    /// The latest end of the runs of a submission after its entry has ended or has cancelled it,
-    /// whatever reaches the instances from then on.
-    [[nodiscard]] Milliseconds latestRunEnd() const;
+    /// Longest time from when an entry has ended, or has cancelled a submission, to the end of its
+    /// runs, whatever reaches the instances from then on.
+    [[nodiscard]] Milliseconds longestRunAfterRequester() const;
 
     auto operator<=>(const ResubmissionTimeouts &) const = default;
 
--- a/src/RpcServer.cpp
+++ b/src/RpcServer.cpp
@@ -109,7 +109,7 @@
 
     void passOn(const FrameHeader &header, std::string payload)
     {
-        const RpcPeer peer{*m_hello, Milliseconds{static_cast<double>(header.serverClockMs)}};
+        const RequestOrigin peer{*m_hello, Milliseconds{static_cast<double>(header.serverClockMs)}};
         m_state->handler(peer, header.kind, std::move(payload), makeReply(header));
     }
 
--- a/src/RpcServer.h
+++ b/src/RpcServer.h
@@ -42,16 +42,16 @@
 /// Sends the reply to one request. May be called once, from any thread.
 using RpcReply = std::function<void(Result<std::string>)>;
 
-/// The sender of a request.
-struct RpcPeer : Hello
+/// Who sent a request, and a lower bound of when.
+struct RequestOrigin : Hello
 {
     /// The request was not sent before this time of the server's clock; 0 if none is known.
     Milliseconds sentAfter;
 };
 
 /// Handles one request of a peer; may reply later. An Error becomes a refusal frame.
-using RpcHandler =
-    std::function<void(const RpcPeer &peer, MessageKind kind, std::string payload, RpcReply reply)>;
+using RpcHandler = std::function<void(const RequestOrigin &peer, MessageKind kind,
+                                      std::string payload, RpcReply reply)>;
 
 /// The server. The connection of a peer with a wrong version, cluster or frame is logged, counted
 /// and closed.
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -274,7 +274,7 @@
     const auto it = m_jobs.find(jobId);
     if (it == m_jobs.end() || it->second.requester != requester)
         return;
-    it->second.cancelledAt = wantedAt;
+    it->second.wantedUntil = wantedAt;
     // The requester no longer waits for the job, but for the end of its call.
     finish(jobId, {JobVerdict::Unknown, "cancelled", 0}, now);
 }
@@ -293,12 +293,12 @@
     return m_dueAt && now - *m_dueAt > m_settings.pauseThreshold;
 }
 
-void RunScheduler::onRequesterContact(const std::string &requester, Milliseconds now)
+void RunScheduler::onRequesterContact(const std::string &requester, Milliseconds readAt)
 {
     if (requester.empty())
         return;
-    auto &lastContactAt = m_requesters.try_emplace(requester, now).first->second;
-    lastContactAt = std::max(lastContactAt, now);
+    auto &lastContactAt = m_requesters.try_emplace(requester, readAt).first->second;
+    lastContactAt = std::max(lastContactAt, readAt);
 }
 
 void RunScheduler::addRequester(const std::string &requester, Milliseconds now)
@@ -310,7 +310,7 @@
 Milliseconds RunScheduler::lastWantedAt(const Job &job, Milliseconds now) const
 {
     const auto contactAt = lastContactAt(job.requester, now);
-    return std::min(contactAt, job.cancelledAt.value_or(contactAt));
+    return std::min(contactAt, job.wantedUntil.value_or(contactAt));
 }
 
 Milliseconds RunScheduler::lastContactAt(const std::string &requester, Milliseconds now) const
@@ -332,7 +332,7 @@
 Milliseconds RunScheduler::renewalLimit(const RunKey &key, Milliseconds now) const
 {
     const auto wantedAt = lastWantedAt(key, now);
-    return wantedAt ? *wantedAt + m_settings.renewalTimeout : NoRenewalLimit;
+    return wantedAt ? renewalLimitOf(*wantedAt) : NoRenewalLimit;
 }
 
 Milliseconds RunScheduler::renewalLimit(const LeasedInstance &instance, Milliseconds now) const
@@ -346,7 +346,7 @@
 void RunScheduler::abandonRuns(Job &job, Milliseconds now)
 {
     std::map<std::string, StopRunsRequest> remote;
-    const auto limit = lastWantedAt(job, now) + m_settings.renewalTimeout;
+    const auto limit = renewalLimitOf(lastWantedAt(job, now));
     for (std::size_t step = 0; step < job.tasks.size(); ++step) {
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             const auto &task = job.tasks[step][index];
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -31,7 +31,7 @@
     Milliseconds outcomeRetention{10'000};
     std::size_t maxOutcomes = 5'000;
     /// A requester without contact for this long is lost, and its jobs are stopped. Must be shorter
-    /// than the time after which callers resend.
+    /// than renewalTimeout.
     Milliseconds requesterTimeout{700};
     /// No lease is renewed beyond this time after the last contact with the requester of one of its
     /// runs. Longer than requesterTimeout, so that there is time to stop the runs.
@@ -76,7 +76,7 @@
         UnknownRun, ///< An instance lists a run that is not one of this holder's.
         InstanceRestarted,
         InstanceLost, ///< With the runs that it had.
-        Abandoned, ///< A run that is no longer wanted, or that counts as lost, is to be stopped.
+        Abandoned, ///< A run is to be stopped; detail is the name of the AbandonReason.
     };
 
     Kind kind = Kind::Started;
@@ -123,7 +123,9 @@
     /// noticed or read late.
     void cancel(const std::string &jobId, const std::string &requester, Milliseconds wantedAt,
                 Milliseconds now);
-    void onRequesterContact(const std::string &requester, Milliseconds now);
+    /// A requester was in contact. Never moves the last contact back.
+    /// @param readAt when its request was read.
+    void onRequesterContact(const std::string &requester, Milliseconds readAt);
     [[nodiscard]] bool hasJob(const JobKey &job) const { return find(job) != nullptr; }
     /// Whether the job is in progress and its requester still waits for it.
     [[nodiscard]] bool isWanted(const JobKey &key, Milliseconds now) const;
@@ -225,8 +227,9 @@
         Milliseconds latestStart; ///< A start after this cannot meet the objective.
         Milliseconds startDeadline; ///< The job is refused unless it has started by then.
         Milliseconds nextOfferAt;
-        /// Set if the job ends because its caller has left: when the caller was certainly there.
-        std::optional<Milliseconds> cancelledAt;
+        /// When the caller was last known to wait; set when the job is cancelled, which may be
+        /// noticed or read late.
+        std::optional<Milliseconds> wantedUntil;
         bool hasStarted = false;
         bool isOffered = false; ///< An offer is open; nothing starts here meanwhile.
         bool hasEarlierRuns = false; ///< Runs of an earlier submission have not ended yet.
@@ -249,7 +252,8 @@
         std::uint64_t submission = 0; ///< Of the job at the requester.
         std::string queue;
         JobStep step;
-        /// When the requester of the job was last in contact with the requester of the run.
+        /// When the job's requester was last in contact with the holder that offered the run, on
+        /// this holder's clock.
         Milliseconds wantedAt;
     };
 
@@ -271,8 +275,8 @@
     [[nodiscard]] bool isEligible(const Job &job, std::size_t step) const;
     [[nodiscard]] Milliseconds expectedTime(const Job &job, const JobStep &step) const;
     /// @param prefix of the names of the step's tasks.
-    /// @param renewalLimit of the runs that are to start. Where the lease was renewed beyond it for
-    /// other runs, they could not be ended in time.
+    /// @param renewalLimit of the runs that are to start. An instance whose lease may last longer
+    /// is left out: its runs could not be ended in time.
     [[nodiscard]] std::vector<Candidate> candidates(const std::string &service, const JobStep &step,
                                                     const std::string &prefix,
                                                     Milliseconds renewalLimit, Milliseconds now);
@@ -315,7 +319,13 @@
                                                            Milliseconds now) const;
     /// Until when the lease of a run may be renewed without another sign of its requester: later,
     /// the caller may have sent the job to another holder.
+    /// NoRenewalLimit if the job has ended: the instance has the limit of the abandoned run.
     [[nodiscard]] Milliseconds renewalLimit(const RunKey &key, Milliseconds now) const;
+    /// Until when a lease may be renewed for a run that was last known to be wanted at a time.
+    [[nodiscard]] Milliseconds renewalLimitOf(Milliseconds wantedAt) const
+    {
+        return wantedAt + m_settings.renewalTimeout;
+    }
     /// The earliest such time of the runs of an instance.
     [[nodiscard]] Milliseconds renewalLimit(const LeasedInstance &instance, Milliseconds now) const;
     /// This process was paused: the requesters have given up meanwhile, and the lists are outdated.
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -43,8 +43,7 @@
                        static_cast<std::uint32_t>(step),
                        job.job.steps[step],
                        {},
-                       !job.hasStarted,
-                       (now - lastWantedAt(job, now)).count()};
+                       !job.hasStarted};
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             auto &task = job.tasks[step][index];
             if (task.state != Task::State::Waiting)
@@ -177,7 +176,7 @@
     if (now - lastContactAt(requester, now) > m_settings.requesterTimeout)
         return {};
     const auto wantedAt = lastContactAt(requester, now) - Milliseconds{offer.requesterAgeMs};
-    const auto limit = wantedAt + m_settings.renewalTimeout;
+    const auto limit = renewalLimitOf(wantedAt);
     auto found = candidates(rule->service, offer.step,
                             taskNamePrefix(offer.job.id, offer.stepIndex), limit, now);
     struct Placement
@@ -231,9 +230,8 @@
         if (!hasAccepted({requester, request.job.submission, key}))
             continue;
         for (auto &[id, instance] : m_instances)
-            instance.abandon(
-                key, AbandonReason::Unwanted, now,
-                std::min(renewalLimit(key, now), wantedAt + m_settings.renewalTimeout));
+            instance.abandon(key, AbandonReason::Unwanted, now,
+                             std::min(renewalLimit(key, now), renewalLimitOf(wantedAt)));
     }
 }
 
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -37,8 +37,8 @@
                                                               Milliseconds now)
 {
     return candidates(job.rule.service, job.job.steps[stepIndex],
-                      taskNamePrefix(job.job.id, stepIndex),
-                      lastWantedAt(job, now) + m_settings.renewalTimeout, now);
+                      taskNamePrefix(job.job.id, stepIndex), renewalLimitOf(lastWantedAt(job, now)),
+                      now);
 }
 
 std::vector<RunScheduler::Candidate>
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -332,7 +332,7 @@
 TEST_CASE("runs for a caller of the holder itself end before their job is sent again",
           "[resubmission]")
 {
-    // Guards against the same at an entry that was paused when its caller left.
+    // Guards against leases that are renewed for a caller that left while the entry was paused.
     const auto pauseMs = GENERATE(0.0, 300.0, 500.0, 700.0, 1'000.0);
     CAPTURE(pauseMs);
     ResentJob play(1.0);
@@ -371,7 +371,7 @@
 TEST_CASE("the runs of a killed entry end in time at a holder that is cut off from its requester",
           "[resubmission]")
 {
-    // Guards against the same sum with one more holder in between: the first one offers runs to the
+    // Guards against timeouts that add up over two holders: the first one offers runs to the
     // second, and is cut off from it before it has lost the entry.
     const auto cutAfterMs = GENERATE(range(0, 1'300, 100));
     CAPTURE(cutAfterMs);
