Let the model deliver the end of an offered run after the reply to its offer

The trace: a holder is paused between its offer and the reply; the run ends meanwhile, and its end overtakes the reply in the model, so that the holder drops it and waits for good. Between real processes a holder asks for the end (AwaitRuns) only when the reply has told it that the run has started, and the other one retains it (RunWaiters).

The model now retains such an end until the reply has arrived; nothing is dropped or checked less.

--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -497,7 +497,11 @@
             auto &home = holderAt(end.key.requester);
             const JobKey job{parseTaskName(end.key.run.task)->jobId, end.key.submission};
             post(home, [this, &home, job, end] {
-                home.onRemoteEnds(job, {end.outcome}, Milliseconds{now});
+                // A holder asks for an end when it knows that the run has started.
+                if (m_openOffers.contains({&home, end.key.run}))
+                    m_retainedEnds.emplace(&home, end);
+                else
+                    home.onRemoteEnds(job, {end.outcome}, Milliseconds{now});
             });
         }
         for (const auto &stop : holder.takeRemoteStops()) {
@@ -518,6 +522,23 @@
                                    Milliseconds{now});
     }
 
+    /// The reply to an offer has arrived: delivers the ends of its runs that came before it.
+    void deliverRetainedEnds(RunScheduler &holder, const RunOffer &offer)
+    {
+        for (const auto &run : offer.runs)
+            m_openOffers.erase({&holder, run.key});
+        for (auto it = m_retainedEnds.begin(); it != m_retainedEnds.end();) {
+            const auto &end = it->second;
+            const JobKey job{parseTaskName(end.key.run.task)->jobId, end.key.submission};
+            if (it->first != &holder || job != offer.job) {
+                ++it;
+                continue;
+            }
+            holder.onRemoteEnds(job, {end.outcome}, Milliseconds{now});
+            it = m_retainedEnds.erase(it);
+        }
+    }
+
     /// Offers the runs to the holders from the given number on.
     void sendOffer(RunScheduler &holder, RunOffer offer, std::size_t number)
     {
@@ -529,6 +550,8 @@
             return;
         }
         auto &other = *m_holders[number];
+        for (const auto &run : offer.runs)
+            m_openOffers.insert({&holder, run.key});
         post(other, [this, &holder, &other, offer, number] {
             const auto started =
                 other.startOffered(offer, addressOf(holder), Milliseconds{now}).started;
@@ -545,6 +568,7 @@
                         other.stopOffered({offer.job, started}, addressOf(holder),
                                           Milliseconds{now}, Milliseconds{now});
                     });
+                deliverRetainedEnds(holder, offer);
                 sendOffer(holder, rest, number + 1);
             });
         });
@@ -568,6 +592,9 @@
     std::vector<std::unique_ptr<RunScheduler>> m_holders;
     /// Tokens of the held instances, by holder.
     std::map<const RunScheduler *, std::map<std::string, std::uint64_t>> m_tokens;
+    /// Runs that were offered without a reply so far, and the ends of such runs.
+    std::set<std::pair<const RunScheduler *, RunKey>> m_openOffers;
+    std::multimap<const RunScheduler *, AcceptedRunEnd> m_retainedEnds;
     std::multimap<double, std::function<void()>> m_messages;
 };
 
