--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -17,7 +17,8 @@
 constexpr std::uint32_t NoHolderRetryMs = 1'000;
 /// Reasons after which another holder is tried.
 constexpr const char *NotHolderReason = "not-holder";
-/// Share of the ping period.
+/// After this share of a ping period without a scheduling pass, the connections of the callers are
+/// looked at before anything is renewed or told for them.
 constexpr double UnnoticedPauseShare = 0.75;
 /// Interval at which a leaving entry checks whether its runs have ended.
 constexpr Milliseconds LeavePeriod{50};
--- a/src/HolderLink.cpp
+++ b/src/HolderLink.cpp
@@ -188,8 +188,10 @@
         const auto now = m_clock.now();
         const bool isIdle = now - peer.sentAt >= m_settings.pingPeriod
             || now - peer.lastContactAt >= m_settings.pingPeriod;
+        if (peer.isPinging)
+            continue;
         auto payload = m_pingPayload(address);
-        if (!peer.isPinging && (isIdle || !payload.empty()))
+        if (isIdle || !payload.empty())
             ping(address, std::move(payload));
     }
     if (isNeeded)
--- a/src/LeasedInstance.cpp
+++ b/src/LeasedInstance.cpp
@@ -158,10 +158,15 @@
     return std::max(0.0, std::floor(until));
 }
 
+void LeasedInstance::assumeMaxLease(Milliseconds now)
+{
+    if (m_clockMs)
+        m_leaseUntilMs = std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
+}
+
 void LeasedInstance::expireLeases(Milliseconds now)
 {
-    const auto sinceReading = (now - m_clockAt).count() * (1.0 - m_settings.clockDrift);
-    const bool isLeaseValid = m_clockMs && *m_clockMs + sinceReading <= m_leaseUntilMs;
+    const bool isLeaseValid = m_clockMs && slowClockAt(now) <= m_leaseUntilMs;
     const bool mayOutlive = std::ranges::any_of(
         m_runs, [&](const auto &it) { return mayOutliveLease(it.second, now); });
     if (m_runs.empty() || isLeaseValid || mayOutlive)
@@ -498,9 +503,7 @@
             m_notices.push_back({InstanceNotice::Kind::UnknownRun, row.key, 0});
             it = m_runs.emplace(row.key, run).first;
             // The lease that this run was started under is unknown.
-            if (m_clockMs)
-                m_leaseUntilMs =
-                    std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
+            assumeMaxLease(now);
         }
         auto &run = it->second;
         if (run.phase == Phase::Starting)
@@ -509,8 +512,8 @@
         // The lease that it was ordered under was not computed for the clock of this incarnation.
         const bool isLeaseUnknown =
             !run.wasListed && m_incarnationKnownAt && run.startedAt <= *m_incarnationKnownAt;
-        if (isLeaseUnknown && m_clockMs)
-            m_leaseUntilMs = std::max(m_leaseUntilMs, clockAt(now) + m_settings.maxLease.count());
+        if (isLeaseUnknown)
+            assumeMaxLease(now);
         run.wasListed = true;
         run.listedAt = now;
         if (!run.confirmedAt)
--- a/src/LeasedInstance.h
+++ b/src/LeasedInstance.h
@@ -227,6 +227,8 @@
     [[nodiscard]] Milliseconds abandonedRenewalLimit() const;
     /// Until when the next order may renew the lease, on the instance's clock.
     [[nodiscard]] double renewableUntil(Milliseconds now, Milliseconds renewalLimit) const;
+    /// The instance may have granted its longest lease.
+    void assumeMaxLease(Milliseconds now);
     void updateClock(const std::optional<double> &clockMs, Milliseconds now);
     void onReplyResult(OrderResult result, Milliseconds now);
     /// Begins a session: the instance may have restarted, or another holder may have had it.
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -178,6 +178,12 @@
 
 void RunScheduler::addEvent(ScheduleEvent event) { m_events.push_back(std::move(event)); }
 
+void RunScheduler::addRunEnd(const std::string &jobId, const RunOutcome &outcome)
+{
+    addEvent({ScheduleEvent::Kind::Ended, jobId, outcome.key, outcome.instance,
+              runEndName(outcome.end), outcome.elapsedMs, outcome.end});
+}
+
 // --- Jobs
 
 RunScheduler::Job RunScheduler::makeJob(const FleetJob &job, const QueueRule &rule,
@@ -506,13 +512,7 @@
     else if (const auto ref = findTask(result.key))
         onTaskEnd(*ref, outcome, now);
     else // An abandoned run of a job that has ended.
-        addEvent({ScheduleEvent::Kind::Ended,
-                  {},
-                  result.key,
-                  outcome.instance,
-                  runEndName(result.end),
-                  outcome.elapsedMs,
-                  result.end});
+        addRunEnd({}, outcome);
 }
 
 void RunScheduler::onTaskEnd(const TaskRef &ref, const RunOutcome &outcome, Milliseconds now)
@@ -521,8 +521,7 @@
     auto &task = *ref.task;
     // A copy, because the end of the job destroys it.
     const auto jobId = job.job.id;
-    addEvent({ScheduleEvent::Kind::Ended, jobId, outcome.key, outcome.instance,
-              runEndName(outcome.end), outcome.elapsedMs, outcome.end});
+    addRunEnd(jobId, outcome);
     const bool isLocal = task.holder.empty();
     task.suspicion = std::max(task.suspicion, outcome.suspicion);
     task.state = Task::State::Waiting;
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -348,6 +348,7 @@
                     Milliseconds now);
     void onAcceptedRunEnd(const RunOutcome &outcome, Milliseconds now);
     void stopAcceptedRuns(const std::set<std::string> &requesters, Milliseconds now);
+    void abandonAccepted(const RunKey &key, Milliseconds renewalLimit, Milliseconds now);
     void finish(const std::string &jobId, JobOutcome outcome, Milliseconds now);
     void abandonRuns(Job &job, Milliseconds now);
     void removeInstance(const std::string &id, Milliseconds now);
@@ -362,6 +363,8 @@
     [[nodiscard]] Job *find(const JobKey &key);
     [[nodiscard]] const Job *find(const JobKey &key) const;
     void addEvent(ScheduleEvent event);
+    /// @param jobId empty if the job is not one of this holder's, or has ended.
+    void addRunEnd(const std::string &jobId, const RunOutcome &outcome);
 
     SchedulerSettings m_settings;
     std::shared_ptr<const FleetConfiguration> m_configuration;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -173,9 +173,10 @@
     if (rule == nullptr || m_jobs.contains(offer.job.id))
         return {};
     // The runs of a lost requester would be stopped at once.
-    if (now - lastContactAt(requester, now) > m_settings.requesterTimeout)
+    const auto contactAt = lastContactAt(requester, now);
+    if (now - contactAt > m_settings.requesterTimeout)
         return {};
-    const auto wantedAt = lastContactAt(requester, now) - Milliseconds{offer.requesterAgeMs};
+    const auto wantedAt = contactAt - Milliseconds{offer.requesterAgeMs};
     const auto limit = renewalLimitOf(wantedAt);
     auto found = candidates(rule->service, offer.step,
                             taskNamePrefix(offer.job.id, offer.stepIndex), limit, now);
@@ -227,34 +228,29 @@
                                Milliseconds wantedAt, Milliseconds now)
 {
     for (const auto &key : request.runs) {
-        if (!hasAccepted({requester, request.job.submission, key}))
-            continue;
-        for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now,
-                             std::min(renewalLimit(key, now), renewalLimitOf(wantedAt)));
+        if (hasAccepted({requester, request.job.submission, key}))
+            abandonAccepted(key, std::min(renewalLimit(key, now), renewalLimitOf(wantedAt)), now);
     }
 }
 
 void RunScheduler::stopAcceptedRuns(const std::set<std::string> &requesters, Milliseconds now)
 {
     for (const auto &[key, run] : m_acceptedRuns) {
-        if (!requesters.contains(run.requester))
-            continue;
-        for (auto &[id, instance] : m_instances)
-            instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit(key, now));
+        if (requesters.contains(run.requester))
+            abandonAccepted(key, renewalLimitOf(run.wantedAt), now);
     }
 }
 
+void RunScheduler::abandonAccepted(const RunKey &key, Milliseconds renewalLimit, Milliseconds now)
+{
+    for (auto &[id, instance] : m_instances)
+        instance.abandon(key, AbandonReason::Unwanted, now, renewalLimit);
+}
+
 void RunScheduler::onAcceptedRunEnd(const RunOutcome &outcome, Milliseconds now)
 {
     const auto run = std::move(m_acceptedRuns.extract(outcome.key).mapped());
-    addEvent({ScheduleEvent::Kind::Ended,
-              {},
-              outcome.key,
-              outcome.instance,
-              runEndName(outcome.end),
-              outcome.elapsedMs,
-              outcome.end});
+    addRunEnd({}, outcome);
     if (outcome.end == RunEnd::Done)
         addRunTime(run.queue, run.step, outcome, now);
     else if (outcome.end == RunEnd::Failed)
