Share the jobs of three tests, and lose stops as orders that never arrive

makeJob() stood in three tests, and the model's loseStop() repeated what send() does for an order without a reply.

--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -30,6 +30,24 @@
     double lostStops = 0;
 };
 
+/// A job of one step.
+inline FleetJob makeJob(const std::string &id, const std::string &queue, std::uint32_t tasks,
+                        std::uint32_t estimatedMs)
+{
+    JobStep step;
+    step.taskCount = tasks;
+    step.demand = {14'000, 64, 0};
+    step.estimatedMs = estimatedMs;
+    return {id, queue, "payload", {step}};
+}
+
+/// A job for the only queue of a test.
+inline FleetJob makeJob(const std::string &id, std::uint32_t tasks)
+{
+    constexpr std::uint32_t EstimatedMs = 900;
+    return makeJob(id, "queue", tasks, EstimatedMs);
+}
+
 /// A simulated instance: leases on its own clock, fencing tokens, lists of ends, and rejected runs.
 class SimulatedInstance
 {
@@ -331,11 +349,18 @@
         }
     }
 
+    [[nodiscard]] bool isUnreachable(const RunScheduler &holder, const std::string &instance) const
+    {
+        return m_down.contains(instance) || isCut(holder, instance);
+    }
+
     /// Sends an order: executes it at the instance, and delivers the reply or its absence to the
     /// holder.
+    /// @param neverArrives whether the order is lost on its way.
     template <typename Reply>
     void send(RunScheduler &holder, const std::string &instance,
-              const std::function<Reply()> &execute, const std::function<void(Reply)> &onReply)
+              const std::function<Reply()> &execute, const std::function<void(Reply)> &onReply,
+              bool neverArrives = false)
     {
         const auto timeout = m_settings.lease.replyTimeout.minTimeout.count();
         const auto replyAt = [this, &holder, onReply](double at, Reply reply) {
@@ -343,7 +368,7 @@
                 deliverReply<Reply>(holder, onReply, reply);
             });
         };
-        if (m_down.contains(instance) || isCut(holder, instance)) {
+        if (neverArrives || isUnreachable(holder, instance)) {
             replyAt(now + timeout, Reply{});
             return;
         }
@@ -359,7 +384,7 @@
         const bool isLost = losesReply(instance);
         const double sentAt = now;
         schedule(now + delay(), [=, this, &holder] {
-            if (m_down.contains(instance) || isCut(holder, instance)) {
+            if (isUnreachable(holder, instance)) {
                 replyAt(sentAt + timeout, Reply{});
                 return;
             }
@@ -384,8 +409,7 @@
     void replyToHold(RunScheduler &holder, const HoldOrder &order, double until)
     {
         auto &instance = m_instances.at(order.target.instance.id);
-        const bool isDown =
-            m_down.contains(order.target.instance.id) || isCut(holder, order.target.instance.id);
+        const bool isDown = isUnreachable(holder, order.target.instance.id);
         auto reply = isDown ? HoldReply{} : instance.hold(order, now);
         if (reply.ended.empty() && now < until && reply.result == OrderResult::Accepted) {
             schedule(now + 1, [=, this, &holder] { replyToHold(holder, order, until); });
@@ -404,17 +428,6 @@
         });
     }
 
-    void loseStop(RunScheduler &holder, const StopOrder &order)
-    {
-        schedule(now + m_settings.lease.replyTimeout.minTimeout.count(), [this, &holder, order] {
-            deliverReply<OrderReply>(holder,
-                                     [this, &holder, order](OrderReply it) {
-                                         holder.onStopReply(order, it, Milliseconds{now});
-                                     },
-                                     {});
-        });
-    }
-
     void step(RunScheduler &holder)
     {
         const Milliseconds at{now};
@@ -427,10 +440,7 @@
                 });
         }
         for (const auto &order : holder.takeStops()) {
-            if (m_faults.lostStops > 0 && chance(m_faults.lostStops)) {
-                loseStop(holder, order);
-                continue;
-            }
+            const bool neverArrives = m_faults.lostStops > 0 && chance(m_faults.lostStops);
             send<OrderReply>(
                 holder, order.target.instance.id,
                 [this, order] {
@@ -442,7 +452,8 @@
                 },
                 [this, &holder, order](OrderReply it) {
                     holder.onStopReply(order, it, Milliseconds{now});
-                });
+                },
+                neverArrives);
         }
         for (const auto &order : holder.takeHolds())
             schedule(now + delay(),
--- a/test/correctness/CrashingTaskTest.cpp
+++ b/test/correctness/CrashingTaskTest.cpp
@@ -25,15 +25,6 @@
     return {1, {rule}};
 }
 
-FleetJob makeJob(const std::string &id, std::uint32_t tasks)
-{
-    JobStep step;
-    step.taskCount = tasks;
-    step.demand = {14'000, 64, 0};
-    step.estimatedMs = 900;
-    return {id, "queue", "payload", {step}};
-}
-
 /// The first task of each job whose name begins so crashes its instances.
 bool isDeadly(const std::string &task)
 {
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -44,15 +44,6 @@
     return configuration;
 }
 
-FleetJob makeJob(const std::string &id, std::uint32_t tasks)
-{
-    JobStep step;
-    step.taskCount = tasks;
-    step.demand = {14'000, 64, 0};
-    step.estimatedMs = 900;
-    return {id, "queue", "payload", {step}};
-}
-
 FleetFaults makeFaults(double lostStops)
 {
     FleetFaults faults;
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -31,16 +31,6 @@
     return configuration;
 }
 
-FleetJob makeJob(const std::string &id, const std::string &queue, std::uint32_t tasks,
-                 std::uint32_t estimatedMs)
-{
-    JobStep step;
-    step.taskCount = tasks;
-    step.demand = {14'000, 64, 0};
-    step.estimatedMs = estimatedMs;
-    return {id, queue, "payload", {step}};
-}
-
 /// Plays jobs on instances that restart under their ids, at odd seeds at once and at even ones
 /// after some seconds, and carry out some orders late. @return for how many milliseconds two runs
 /// of one task were seen, over all tasks.
