--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,5 @@
 """Two control machines freeze for some seconds, then a third one loses its disk: the group is lost."""
 import asyncio
-import json
 import pathlib
 import sys
 
@@ -53,7 +52,8 @@
     await at(WIPE_AT_S)
     running = [it for it in system.controls if it is not second]
     newest = 8
-    if not await put(system, running, system.configuration(newest, ["/lohu930/", "/volo102/"])):
+    changed = system.configuration(newest, ["/lohu930/", "/volo102/"])
+    if not await system.put_configuration(changed, running, 12):
         newest = 7  # Not acknowledged, so it may or may not be in force.
     if trouble:
         await wiped.lose_power_and_disk()
@@ -63,48 +63,7 @@
         await wiped.start()
     record("all machines are back")
     await asyncio.sleep(fleet.BOUNDS["recovery_s"] + 2 * fleet.BOUNDS["contact_ms"] / 1000)
-    return await read_back(record, system, newest)
-
-
-async def put(system, nodes, configuration):
-    body = json.dumps(configuration).encode()
-    for n in range(12):
-        node = nodes[n % len(nodes)]
-        status, _ = await fleet.call((node.ip, system.control_port), "PUT", "/configuration", body,
-                                     timeout=1.0)
-        system.record(f"operator PUT /configuration version {configuration['version']} to"
-                      f" {node.name}: {status}")
-        if status == 200:
-            return True
-        await asyncio.sleep(0.2)
-    return False
-
-
-async def read_back(record, system, newest):
-    """As the operator at the end of a day: repeatedly, longer than contact_ms, at every node."""
-    until = fleet.now() + 3 * fleet.BOUNDS["contact_ms"] / 1000
-    seen = set()
-    while fleet.now() < until:
-        for node in system.controls:
-            status, text = await fleet.call((node.ip, system.control_port), "GET",
-                                            "/configuration", timeout=1.0)
-            version = json.loads(text)["version"] if status == 200 else None
-            record(f"operator GET /configuration at {node.name}: {status} version {version}")
-            if version is not None:
-                seen.add(version)
-        await asyncio.sleep(0.5)
-    # For the record: whether a change can still be stored.
-    changed = await put(system, system.controls, system.configuration(9, ["/lohu930/"]))
-    record(f"a further change was {'acknowledged' if changed else 'not acknowledged by any node'}")
-    if not seen:
-        record(f"BROKEN CONFIG, LOST: version {newest} was acknowledged; the read back at the end"
-               " did not come from any node")
-        return 1
-    if min(seen) < newest:
-        record(f"BROKEN CONFIG: version {min(seen)} was read, {newest} was acknowledged")
-        return 1
-    record("verdict: CONFIG held")
-    return 0
+    return await system.read_back(newest)
 
 
 if __name__ == "__main__":
--- a/review/stand-in-2/fleet.py
+++ b/review/stand-in-2/fleet.py
@@ -365,11 +365,12 @@
                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                            "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
-    async def put_configuration(self, configuration, attempts=20):
+    async def put_configuration(self, configuration, nodes=None, attempts=20):
         """As an operator: the same text again, to any node, until it is acknowledged."""
+        nodes = nodes or self.controls
         body = json.dumps(configuration).encode()
         for n in range(attempts):
-            node = self.controls[n % len(self.controls)]
+            node = nodes[n % len(nodes)]
             status, _ = await call((node.ip, self.control_port), "PUT", "/configuration", body,
                                    timeout=1.0)
             self.record(f"operator PUT /configuration version {configuration['version']} to"
@@ -379,6 +380,35 @@
             await asyncio.sleep(0.2)
         return False
 
+    async def read_back(self, newest):
+        """As the operator at the end of a day: repeatedly, for longer than contact_ms, at every
+        node. Returns the exit code."""
+        until = now() + 3 * BOUNDS["contact_ms"] / 1000
+        seen = set()
+        while now() < until:
+            for node in self.controls:
+                status, text = await call((node.ip, self.control_port), "GET", "/configuration",
+                                          timeout=1.0)
+                version = json.loads(text)["version"] if status == 200 else None
+                self.record(f"operator GET /configuration at {node.name}: {status} version"
+                            f" {version}")
+                if version is not None:
+                    seen.add(version)
+            await asyncio.sleep(0.5)
+        # For the record: whether a change can still be stored.
+        changed = await self.put_configuration(
+            self.configuration(newest + 10, ["/lohu930/"]), attempts=12)
+        self.record(f"a further change was {'' if changed else 'not '}acknowledged")
+        if not seen:
+            self.record(f"BROKEN CONFIG, LOST: version {newest} was acknowledged; the read back at"
+                        " the end did not come from any node")
+            return 1
+        if min(seen) < newest:
+            self.record(f"BROKEN CONFIG: version {min(seen)} was read, {newest} was acknowledged")
+            return 1
+        self.record("verdict: CONFIG held")
+        return 0
+
     async def begin(self, configuration):
         """Starts everything. Returns whether the system became ready."""
         for node in self.controls + self.entries:
