--- a/review/stand-in-2/fleet.py
+++ b/review/stand-in-2/fleet.py
@@ -23,6 +23,8 @@
           "config_apply_ms": 2000, "hold_max_ms": 1000, "stop_timeout_ms": 50,
           "cancel_ms": 3000, "resend_ms": 1300, "recovery_s": 12}
 HEARTBEAT_MS = 1500
+# How long a worker takes for a stop; less than stop_timeout_ms.
+STOP_MS = 30
 VANE_ZONES = {"ga-south-a": "ga-south", "ga-south-b": "ga-south", "ga-south-c": "ga-south"}
 TERANGA_ZONES = {it: "dakar-region" for it in ("plateau", "pikine", "rufisque", "thies-road")}
 
@@ -105,9 +107,10 @@
 class Worker:
     """One worker in push mode. The spec of a job is JSON: run time of each step, and the cpu."""
 
-    def __init__(self, record, worker_id, zone, service, controls, cpu=32000):
+    def __init__(self, record, worker_id, zone, service, controls, cpu=32000,
+                 kind="a"):
         self.record, self.id, self.zone, self.service = record, worker_id, zone, service
-        self.controls, self.cpu = controls, cpu
+        self.controls, self.cpu, self.kind = controls, cpu, kind
         self.born = int(time.time() * 1000)
         self.start_at = now()
         self.token = 0
@@ -142,7 +145,7 @@
                     "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
                     "cold_remaining_ms": 0, "born": self.born, "clock_ms": int(self.clock()),
                     "capacity": {"cpu": self.cpu, "mem_mb": 131072, "gpu": 0},
-                    "labels": ["a", "r1-1"], "seq": self.seq}
+                    "labels": [self.kind, f"r-{self.zone}"], "seq": self.seq}
             for address in list(self.controls):
                 status, _ = await call(address, "PUT", f"/instances/{self.id}", body, timeout=1.0)
                 if 200 <= status < 300:
@@ -237,7 +240,10 @@
         key = (body["task"], body["run"])
         self.record(f"worker {self.id} stop order {key[0]} run {key[1]}")
         if key in self.running:
-            self.end(key, "stopped")
+            # A stop takes at most stop_timeout_ms.
+            await asyncio.sleep(STOP_MS / 1000)
+            if key in self.running:
+                self.end(key, "stopped")
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
         return 200, {}
 
