--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Two control machines freeze for some seconds, then a third one loses its disk: the group is lost."""
+"""Two control machines freeze for some seconds, a third one loses its disk: the group is lost."""
 import asyncio
 import pathlib
 import sys
