Give a silent voter's successor a vote before the voter loses its own

Cause: the leader removed a voter that had been silent for 4 s and added the waiting candidate afterwards. If the candidate fell silent in between, the group stayed at two voters, and the removed one erased its disk; one lost disk then took the majority for good.

A learner is promoted only while it replies.

--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::size_t MaxMembers = 7;
+/// Seven voters, and the successor of one of them.
+constexpr std::size_t MaxMembers = 8;
 /// A starting member that has asked this often without contact with a leader waits as the others
 /// do, because it may be partitioned for long.
 constexpr int MaxStartPreVotes = 20;
@@ -660,7 +661,7 @@
         return Error{ErrorCode::Conflict,
                      "'" + member.instance + "' is already a member with other addresses"};
     if (next.members.size() >= MaxMembers)
-        return Error{ErrorCode::Conflict, "the group already has the maximum of 7 members"};
+        return Error{ErrorCode::Conflict, "the group already has the maximum of 8 members"};
     member.isVoter = false;
     next.members.push_back(std::move(member));
     return proposeConfiguration(next);
@@ -686,8 +687,10 @@
     if (!canChangeMembers())
         return;
     auto next = configuration();
+    // A learner that has stopped replying would count towards the majority without helping it.
     const auto it = std::ranges::find_if(next.members, [this](const RaftMember &member) {
-        return !member.isVoter && matchIndex(member.instance) >= m_commitIndex;
+        return !member.isVoter && matchIndex(member.instance) >= m_commitIndex
+            && m_now - lastReply(member.instance) <= m_settings.electionTimeout;
     });
     if (it == next.members.end())
         return;
--- a/test/correctness/GroupMembershipGeneratedTest.cpp
+++ b/test/correctness/GroupMembershipGeneratedTest.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 using namespace Camphor;
 using namespace Camphor::Testing;
 
@@ -69,6 +71,35 @@
         }
     }
 
+    /// Pauses several machines at overlapping times, and lets one member lose its disk meanwhile.
+    /// All are back at the end.
+    void overlapLosses()
+    {
+        constexpr int StartMs = 6'000;
+        std::multimap<int, std::function<void()>> events;
+        for (const auto &address : pickAddresses(2 + below(2))) {
+            const int duration = 1'000 + below(7'000);
+            events.emplace(below(StartMs), [=, this] { m_sim.pause(nameAt(address), duration); });
+        }
+        const auto victim = pickAddresses(1).front();
+        const int wipedAt = 2'000 + below(StartMs);
+        events.emplace(wipedAt, [=, this] {
+            ++m_disksLost;
+            const auto name = nameAt(victim);
+            m_sim.destroy(name);
+            m_candidates.erase(name);
+        });
+        events.emplace(wipedAt + 500 + below(2'500), [=, this] { startAt(victim); });
+        int elapsed = 0;
+        for (const auto &[time, event] : events) {
+            run(time - elapsed);
+            elapsed = time;
+            event();
+        }
+        constexpr int LongestPauseMs = 8'000;
+        run(LongestPauseMs);
+    }
+
     /// Every member is a voter and up, and has almost everything that was committed.
     [[nodiscard]] bool isHealthy()
     {
@@ -107,6 +138,30 @@
         return members[static_cast<std::size_t>(below(static_cast<int>(members.size())))].instance;
     }
 
+    /// Addresses of different machines that have a disk, in a random order.
+    std::vector<std::string> pickAddresses(int count)
+    {
+        std::vector<std::string> addresses;
+        for (const auto &[name, address] : m_addresses) {
+            if (!m_sim.isRetired(name))
+                addresses.push_back(address);
+        }
+        std::ranges::shuffle(addresses, m_random);
+        addresses.resize(static_cast<std::size_t>(count));
+        return addresses;
+    }
+
+    /// The present name of the machine at an address; the former one while it is down.
+    [[nodiscard]] std::string nameAt(const std::string &address) const
+    {
+        std::string name;
+        for (const auto &[it, itsAddress] : m_addresses) {
+            if (itsAddress == address && (name.empty() || !m_sim.isRetired(it)))
+                name = it;
+        }
+        return name;
+    }
+
     void startAt(const std::string &address) { m_addresses[m_sim.startWithoutState()] = address; }
 
     void restart(const std::string &name)
@@ -218,3 +273,19 @@
     CHECK(group.sim().accepted().size() > 20);
     CHECK_NOTHROW(group.sim().heal());
 }
+
+TEST_CASE("a group survives overlapping pauses and the loss of one disk", "[membership][generated]")
+{
+    // Guards against a voter that is removed, and erases its disk, before its successor has a vote:
+    // the loss of one more disk then leaves no majority, though all machines are back.
+    const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{61}));
+    CAPTURE(seed);
+    constexpr std::size_t Voters = 3;
+    SupervisedGroup group(seed, Voters, 1);
+    group.run(3'000);
+    for (int n = 0; n < 4; ++n) {
+        group.overlapLosses();
+        group.awaitHealthy();
+    }
+    CHECK_NOTHROW(group.sim().heal());
+}
