Tell a member that it was removed only once the removal is committed

Cause: onJoin took the newest configuration in the log, committed or not, and an earlier contact with a majority for the proof that it holds. A leader that had just lost its majority told a member of a removal that only its own log contained; the member erased its disk, the removal was undone, and one copy less was left than the group counted on.

Change: RaftCore::isRemoved() looks at the newest configuration that is known to be committed. What it says is never undone, so the age of the last contact does not matter.

--- a/src/ControlNode.h
+++ b/src/ControlNode.h
@@ -70,6 +70,11 @@
     [[nodiscard]] Strand &strand() { return m_strand; }
     [[nodiscard]] const ControlState &state() const { return m_state; }
     [[nodiscard]] const RaftConfiguration &configuration() const { return m_core.configuration(); }
+    /// Whether the group has removed a name for good; see RaftCore.
+    [[nodiscard]] bool isRemoved(const std::string &instance) const
+    {
+        return m_core.isRemoved(instance);
+    }
     /// Time of the last contact with a leader.
     [[nodiscard]] Milliseconds lastLeaderContact() const { return m_core.lastLeaderContact(); }
     /// Time of a member's last reply to this leader or, before its first one, the time since which
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -409,10 +409,7 @@
         m_candidates[member.instance] = {member, m_clock.now()};
     JoinGroupReply response;
     response.member = member.instance;
-    // Only removals that a majority has agreed on count, so this member itself needs contact with
-    // the group.
-    response.isRemoved = m_node->isCurrent()
-        && std::ranges::find(group.removed, member.instance) != group.removed.end();
+    response.isRemoved = m_node->isRemoved(member.instance);
     response.isMember = group.find(member.instance) != nullptr;
     if (const auto *leader = m_node->leader())
         response.leaderAddress = leader->address;
--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -84,6 +84,13 @@
     return m_configurations.rbegin()->second;
 }
 
+bool RaftCore::isRemoved(const std::string &instance) const
+{
+    const auto committed = std::prev(m_configurations.upper_bound(m_commitIndex));
+    const auto &removed = committed->second.removed;
+    return std::ranges::find(removed, instance) != removed.end();
+}
+
 std::optional<std::uint64_t> RaftCore::termAt(std::uint64_t index) const
 {
     if (index == 0)
--- a/src/RaftCore.h
+++ b/src/RaftCore.h
@@ -313,7 +313,11 @@
     [[nodiscard]] std::uint64_t lastIndex() const;
     [[nodiscard]] std::uint64_t snapshotIndex() const { return m_snapshot.index; }
     [[nodiscard]] std::size_t logBytes() const { return m_logBytes; }
+    /// The newest configuration in the log, which is in force whether it is committed or not.
     [[nodiscard]] const RaftConfiguration &configuration() const;
+    /// Whether the group has removed a name for good. False while the removal is not known to be
+    /// committed, because another leader may undo it.
+    [[nodiscard]] bool isRemoved(const std::string &instance) const;
     [[nodiscard]] const RaftSnapshot &snapshot() const { return m_snapshot; }
     /// Time of the last contact with a leader. On a leader, the time at which it last had contact
     /// with a majority.
--- a/test/RaftSimulation.h
+++ b/test/RaftSimulation.h
@@ -125,6 +125,13 @@
 
     /// Partitions a member from all others.
     void isolate(const std::string &name) { m_partitions = {{name, 1}}; }
+    /// Partitions some members, which can communicate with each other, from all others.
+    void isolate(const std::vector<std::string> &names)
+    {
+        m_partitions.clear();
+        for (const auto &name : names)
+            m_partitions[name] = 1;
+    }
     void reconnect() { m_partitions.clear(); }
     void crash(const std::string &name) { m_nodes.at(name).core.reset(); }
     /// Permanently removes a member's process and disk.
@@ -158,6 +165,7 @@
     {
         m_nodes.at(name).pausedUntil = m_now + durationMs;
     }
+    void resume(const std::string &name) { pause(name, 0); }
     void restart(const std::string &name) { boot(name); }
     RaftCore &core(const std::string &name) { return *m_nodes.at(name).core; }
     void executeActions(const std::string &name) { executeActions(name, m_nodes.at(name)); }
--- a/test/correctness/GroupMembershipGeneratedTest.cpp
+++ b/test/correctness/GroupMembershipGeneratedTest.cpp
@@ -100,6 +100,34 @@
         run(LongestPauseMs);
     }
 
+    /// A follower is silent until the leader proposes its removal. At that moment the leader is cut
+    /// off from all others but this follower, and loses its disk some time later.
+    void interruptRemoval()
+    {
+        const auto leader = m_sim.leader();
+        const auto removedCount = [&] { return m_sim.core(leader).configuration().removed.size(); };
+        const auto before = removedCount();
+        const auto silent = pickFollower();
+        constexpr int MaxSilenceMs = 20'000;
+        m_sim.pause(silent, MaxSilenceMs);
+        for (int n = 0; n < MaxSilenceMs && removedCount() == before; ++n)
+            run(1);
+        REQUIRE(removedCount() > before);
+        CHECK_FALSE(m_sim.core(leader).isRemoved(silent));
+        auto others = m_sim.names();
+        std::erase_if(others, [&](const auto &it) { return it == leader || it == silent; });
+        m_sim.isolate(others);
+        m_sim.resume(silent);
+        run(200 + below(2'000));
+        const auto address = m_addresses.at(leader);
+        m_sim.destroy(leader);
+        m_candidates.erase(leader);
+        ++m_disksLost;
+        run(500 + below(2'000));
+        m_sim.reconnect();
+        startAt(address);
+    }
+
     /// Every member is a voter and up, and has almost everything that was committed.
     [[nodiscard]] bool isHealthy()
     {
@@ -162,6 +190,16 @@
         return name;
     }
 
+    std::string pickFollower()
+    {
+        const auto leader = m_sim.leader();
+        std::string name;
+        do
+            name = pickMember();
+        while (name == leader);
+        return name;
+    }
+
     void startAt(const std::string &address) { m_addresses[m_sim.startWithoutState()] = address; }
 
     void restart(const std::string &name)
@@ -198,27 +236,51 @@
         awaitHealthy();
     }
 
-    /// What the leader's timer does, with the candidates that contact it.
+    /// Whether a process asks the others for its membership: it has no contact with a leader.
+    [[nodiscard]] bool isAsking(const std::string &name)
+    {
+        if (m_sim.isRetired(name) || !m_sim.isUp(name))
+            return false;
+        constexpr Milliseconds LeaderContactTimeout{2'000};
+        const auto &core = m_sim.core(name);
+        const bool hasContact =
+            core.isLeader() || m_sim.now() - core.lastLeaderContact() < LeaderContactTimeout;
+        return core.configuration().find(name) == nullptr || !hasContact;
+    }
+
+    /// Whether another process, leader or not, says that the group has removed a member.
+    [[nodiscard]] bool isToldOfRemoval(const std::string &name)
+    {
+        return std::ranges::any_of(m_sim.names(), [&](const std::string &it) {
+            return it != name && !m_sim.isRetired(it) && m_sim.isUp(it)
+                && m_sim.canCommunicate(it, name) && m_sim.core(it).isRemoved(name);
+        });
+    }
+
+    /// Members that are told of their removal erase their data and ask under another name.
+    void restartRemoved()
+    {
+        for (const auto &name : m_sim.names()) {
+            if (!isAsking(name) || !isToldOfRemoval(name))
+                continue;
+            m_sim.destroy(name);
+            m_candidates.erase(name);
+            startAt(m_addresses.at(name));
+        }
+    }
+
+    /// What the timers do: members ask for their membership, and the leader changes it.
     void supervise()
     {
+        restartRemoved();
         const auto leader = m_sim.leader();
         if (leader.empty())
             return;
         auto &core = m_sim.core(leader);
         for (const auto &name : m_sim.names()) {
-            const bool isCandidate = !m_sim.isRetired(name) && m_sim.isUp(name)
-                && m_sim.canCommunicate(leader, name) && core.configuration().find(name) == nullptr;
-            if (!isCandidate)
-                continue;
-            const auto &removed = core.configuration().removed;
-            if (std::ranges::find(removed, name) == removed.end()) {
+            if (isAsking(name) && m_sim.canCommunicate(leader, name)
+                && core.configuration().find(name) == nullptr)
                 m_candidates[name] = {memberOf(name), m_sim.now()};
-            } else {
-                // It learns that it was removed, erases its data and asks under another name.
-                m_sim.destroy(name);
-                m_candidates.erase(name);
-                startAt(m_addresses.at(name));
-            }
         }
         const auto step = nextMembershipStep(
             addressed(core.configuration()), leader, m_candidates,
@@ -289,3 +351,18 @@
     }
     CHECK_NOTHROW(group.sim().heal());
 }
+
+TEST_CASE("a removal that is never committed erases no disk", "[membership][generated]")
+{
+    // Guards against a member that is told of a removal which only one log contains: it erases its
+    // disk, the removal is undone, and with one more lost disk the group has no majority.
+    const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{21}));
+    CAPTURE(seed);
+    constexpr std::size_t Voters = 3;
+    SupervisedGroup group(seed, Voters, 1);
+    group.run(3'000);
+    group.awaitHealthy();
+    group.interruptRemoval();
+    group.awaitHealthy();
+    CHECK_NOTHROW(group.sim().heal());
+}
