Carry a reading of the server's clock on by the client's own clock

Change: a reading holds for as long as its error is small enough: the time that it may have waited, and 2% of the time since on either clock. The most exact reading is kept, so one that came with the end of a long job does not replace that of a ping.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -20,9 +20,9 @@
 /// After this share of a ping period without a scheduling pass, the connections of the callers are
 /// looked at before anything is renewed or told for them.
 constexpr double UnnoticedPauseShare = 0.75;
-/// Share of the maximum age of a request by which the sender's reading of the receiver's clock may
-/// be too old. The rest is for its way.
-constexpr double ClockAgeShare = 1.0 / 3;
+/// Share of the maximum age of a request by which a sender may take it for older than it is. The
+/// rest is for its way.
+constexpr double ClockErrorShare = 1.0 / 3;
 /// Interval at which a leaving entry checks whether its runs have ended.
 constexpr Milliseconds LeavePeriod{50};
 /// Time for the control group to learn that this entry leaves.
@@ -116,7 +116,7 @@
         return server.error();
     m_rpc = std::move(server).value();
     auto called = rpc;
-    called.maxClockAge = m_settings.maxRequestAge * ClockAgeShare;
+    called.maxClockError = m_settings.maxRequestAge * ClockErrorShare;
     m_link = std::make_shared<HolderLink>(m_io, called, m_settings.link);
     m_link->setPingPayload([weak = weak_from_this()](const std::string &address) {
         const auto self = weak.lock();
--- a/src/RpcClient.cpp
+++ b/src/RpcClient.cpp
@@ -24,6 +24,33 @@
 using Tcp = Asio::ip::tcp;
 using ErrorCodeAsio = boost::system::error_code;
 
+/// Highest relative difference between the rates of two machines' monotonic clocks.
+constexpr double MaxClockDrift = 0.02;
+
+/// What a client knows of the server's clock. All other times are of its own clock.
+struct ClockReading
+{
+    Milliseconds serverTime; ///< When the server made the reading.
+    Milliseconds readAt;
+    Milliseconds requestedAt; ///< The reading was made between this time and readAt.
+
+    /// Returns how much earlier than the present time of the server's clock serverTimeMs(now) may
+    /// be.
+    [[nodiscard]] Milliseconds error(Milliseconds now) const
+    {
+        return readAt - requestedAt + (now - readAt) * (2 * MaxClockDrift);
+    }
+
+    /// Returns a time of the server's clock that is not after a time of the own clock, and not 0.
+    [[nodiscard]] std::uint64_t serverTimeMs(Milliseconds time) const
+    {
+        const auto elapsed = time - readAt;
+        const bool isLater = elapsed >= Milliseconds{0};
+        const auto least = serverTime + elapsed * (isLater ? 1 - MaxClockDrift : 1 + MaxClockDrift);
+        return static_cast<std::uint64_t>(std::max(1.0, std::floor(least.count())));
+    }
+};
+
 class TcpRpcClient : public RpcClient, public std::enable_shared_from_this<TcpRpcClient>
 {
 public:
@@ -105,7 +132,7 @@
                 connect();
             return;
         }
-        if (!hasRecentClock()) {
+        if (!knowsClock()) {
             requestClock();
             return;
         }
@@ -115,17 +142,18 @@
                 continue;
             auto &pending = it->second;
             pending.sentAt = m_clock.now();
-            m_stream->send(encodeFrame(
-                {0, correlation, serverClockMs(pending.calledAt), pending.kind, FrameType::Request},
-                std::exchange(pending.payload, {})));
+            const auto calledAtMs = m_reading ? m_reading->serverTimeMs(pending.calledAt) : 0;
+            m_stream->send(
+                encodeFrame({0, correlation, calledAtMs, pending.kind, FrameType::Request},
+                            std::exchange(pending.payload, {})));
         }
     }
 
-    [[nodiscard]] bool hasRecentClock() const
+    [[nodiscard]] bool knowsClock() const
     {
-        const auto maxAge = m_settings.maxClockAge;
-        return maxAge == Milliseconds{0}
-        || (m_serverClockMs != 0 && m_clock.now() - m_clockRequestedAt <= maxAge);
+        const auto maxError = m_settings.maxClockError;
+        return maxError == Milliseconds{0}
+        || (m_reading && m_reading->error(m_clock.now()) <= maxError);
     }
 
     void requestClock()
@@ -136,26 +164,14 @@
         m_stream->send(encodeFrame({0, 0, 0, MessageKind::Ping, FrameType::ClockRequest}, {}));
     }
 
-    /// @param requestedAt when the frame that the server has replied to was sent: the reading may
-    /// have waited on its way for all the time since.
+    /// @param requestedAt when the frame that the server has replied to was sent.
     void readClock(const FrameHeader &header, Milliseconds requestedAt)
     {
-        if (header.serverClockMs >= m_serverClockMs) {
-            m_serverClockMs = header.serverClockMs;
-            m_clockReadAt = m_clock.now();
-        }
-        m_clockRequestedAt = std::max(m_clockRequestedAt, requestedAt);
-    }
-
-    /// A time of the server's clock that is not after a time of this process's clock; 0 if none is
-    /// known. A request may have been made before the reading, and must not look younger for it.
-    [[nodiscard]] std::uint64_t serverClockMs(Milliseconds time) const
-    {
-        if (m_serverClockMs == 0)
-            return 0;
-        const auto sinceCall = std::ceil(std::max(0.0, (m_clockReadAt - time).count()));
-        const auto reading = static_cast<double>(m_serverClockMs);
-        return static_cast<std::uint64_t>(std::max(1.0, reading - sinceCall));
+        const auto now = m_clock.now();
+        const Milliseconds serverTime{static_cast<double>(header.serverClockMs)};
+        const ClockReading reading{serverTime, now, requestedAt};
+        if (!m_reading || reading.error(now) <= m_reading->error(now))
+            m_reading = reading;
     }
 
     void connect()
@@ -190,8 +206,7 @@
             return;
         }
         m_stream = std::make_shared<FrameStream>(std::move(*socket), m_settings.maxFrameBytes);
-        m_serverClockMs = 0;
-        m_clockRequestedAt = {};
+        m_reading.reset();
         m_isClockRequested = false;
         m_stream->start(
             [self = shared_from_this()](const FrameHeader &header, std::string payload) {
@@ -223,7 +238,8 @@
         auto pending = std::move(it->second);
         m_pending.erase(it);
         pending.timer->cancel();
-        readClock(header, pending.sentAt.value_or(Milliseconds{}));
+        if (pending.sentAt)
+            readClock(header, *pending.sentAt);
         if (header.type == FrameType::Reply)
             pending.callback(std::move(payload));
         else if (header.type == FrameType::Expired)
@@ -261,9 +277,7 @@
     std::vector<std::uint64_t> m_unsent;
     std::uint64_t m_lastCorrelation = 0;
     SteadyClock m_clock;
-    std::uint64_t m_serverClockMs = 0; ///< Latest clock of the server on this connection, or 0.
-    Milliseconds m_clockReadAt; ///< When it was read.
-    Milliseconds m_clockRequestedAt; ///< It is not older than this.
+    std::optional<ClockReading> m_reading; ///< The most exact one on this connection.
     Milliseconds m_lastClockRequestAt;
     bool m_isClockRequested = false;
     bool m_isStopped = false;
--- a/src/RpcServer.h
+++ b/src/RpcServer.h
@@ -29,9 +29,9 @@
     Milliseconds connectTimeout{500};
     /// Longest wait for the first frame of a peer.
     Milliseconds helloTimeout{2'000};
-    /// A client sends no request while its reading of the server's clock is older: it asks for the
+    /// A client sends no request while it knows the server's clock less exactly: it asks for the
     /// clock first. 0 if the server need not know the age of requests.
-    Milliseconds maxClockAge{0};
+    Milliseconds maxClockError{0};
 
     auto operator<=>(const RpcSettings &) const = default;
 };
--- a/test/correctness/ExpiredRequestTest.cpp
+++ b/test/correctness/ExpiredRequestTest.cpp
@@ -19,10 +19,10 @@
 class NoInstances : public InstanceClient
 {
 public:
-    void start(const StartOrder &, Milliseconds, OrderCallback) override {}
-    void stop(const StopOrder &, Milliseconds, OrderCallback) override {}
-    void hold(const HoldOrder &, Milliseconds, HoldCallback) override {}
-    void setOnDisconnect(std::function<void(const std::string &)>) override {}
+    void start(const StartOrder &, Milliseconds, OrderCallback) override { }
+    void stop(const StopOrder &, Milliseconds, OrderCallback) override { }
+    void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
+    void setOnDisconnect(std::function<void(const std::string &)>) override { }
 };
 
 std::string payloadOf(MessageKind kind)
@@ -56,7 +56,7 @@
         settings.maxRequestAge = MaxRequestAge;
         entry = FleetEntry::make(entryIo, settings, std::make_shared<NoInstances>()).value();
         auto rpc = makeRpc("sender");
-        rpc.maxClockAge = MaxRequestAge / 2;
+        rpc.maxClockError = MaxRequestAge / 2;
         client = RpcClient::make(clientIo, address, rpc);
     }
 
--- a/test/correctness/RequestAgeTest.cpp
+++ b/test/correctness/RequestAgeTest.cpp
@@ -22,10 +22,10 @@
 
 constexpr Milliseconds Hour{3'600'000};
 
-RpcSettings makeClientSettings(Milliseconds maxClockAge)
+RpcSettings makeClientSettings(Milliseconds maxClockError)
 {
     auto settings = makeRpc("client");
-    settings.maxClockAge = maxClockAge;
+    settings.maxClockError = maxClockError;
     return settings;
 }
 
@@ -40,8 +40,8 @@
 /// of this machine.
 struct Ends
 {
-    explicit Ends(Milliseconds maxClockAge)
-        : clientSettings(makeClientSettings(maxClockAge))
+    explicit Ends(Milliseconds maxClockError)
+        : clientSettings(makeClientSettings(maxClockError))
     {
         server = RpcServer::make(serverIo, address, makeRpc("server"),
                                  [this](const RequestOrigin &peer, MessageKind kind,
@@ -168,8 +168,8 @@
 TEST_CASE("a reading of the clock that has waited does not make a request look older", "[rpc]")
 {
     // Guards against a client that was paused, and whose new requests are all refused as too old.
-    constexpr Milliseconds MaxClockAge{30};
-    Ends ends(MaxClockAge);
+    constexpr Milliseconds MaxClockError{30};
+    Ends ends(MaxClockError);
     ends.call(MessageKind::Ping, {});
     REQUIRE(ends.runUntil([&] { return ends.results.size() == 1; }));
     // The reply to this request waits in the client's socket.
@@ -180,11 +180,27 @@
         Ends::poll(ends.serverIo);
         return ends.handled.size() == 2;
     }));
-    std::this_thread::sleep_for(toChrono(MaxClockAge * 2));
+    std::this_thread::sleep_for(toChrono(MaxClockError * 2));
     const auto resumedAt = SteadyClock().now();
     ends.call(MessageKind::SubmitJob, "job");
     REQUIRE(ends.runUntil([&] { return ends.handled.size() == 3; }));
-    CHECK(ends.handled.back().sentAfter > resumedAt - MaxClockAge);
+    CHECK(ends.handled.back().sentAfter > resumedAt - MaxClockError);
+}
+
+TEST_CASE("a connection that was idle does not make a request look older", "[rpc]")
+{
+    // Guards against one more round trip before each request that follows a short silence.
+    constexpr Milliseconds Silence{100};
+    Ends ends(Hour);
+    ends.call(MessageKind::Ping, {});
+    REQUIRE(ends.runUntil([&] { return ends.results.size() == 1; }));
+    const auto repliedAt = SteadyClock().now();
+    std::this_thread::sleep_for(toChrono(Silence));
+    ends.call(MessageKind::SubmitJob, "job");
+    const auto calledAt = SteadyClock().now();
+    REQUIRE(ends.runUntil([&] { return ends.handled.size() == 2; }));
+    CHECK(ends.handled.back().sentAfter > repliedAt);
+    CHECK(ends.handled.back().sentAfter <= calledAt);
 }
 
 TEST_CASE("requests that wait for the server's clock are handled in order", "[rpc]")
