Name the called member in each call between members of the group

Cause: a call named its sender only. Its replies also hid from the leader that the member was gone.

Change: a call between members names the member that it is for, and a process refuses one for another name. With that, a member's silence is its own, and one that has replied within 500 ms is no longer taken for lost because a request of an earlier process at its address arrives late.

--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -172,12 +172,28 @@
 // --- Calls
 
 template <typename T>
-bool ControlNode::receiveAs(const std::string &from, const std::string &payload,
+void ControlNode::receiveAs(const std::string &from, const std::string &payload,
                             const RpcReply &reply)
 {
     if (auto message = decodeOrReject<T>(payload, reply))
         receive(from, std::move(*message), reply);
-    return true;
+}
+
+void ControlNode::onCall(const std::string &from, MessageKind kind, const MemberCall &call,
+                         const RpcReply &reply)
+{
+    if (call.to != m_settings.instance) {
+        // Heartbeats repeat the call until the group has removed the former name.
+        if (std::exchange(m_loggedAddressee, call.to) != call.to)
+            Log::warning(LogEvent::MemberCallRefused).kv("from", from).kv("to", call.to);
+        reply(Error{ErrorCode::Unavailable, "the call is for another member"});
+    } else if (kind == MessageKind::AppendEntries) {
+        receiveAs<RaftAppendRequest>(from, call.message, reply);
+    } else if (kind == MessageKind::InstallSnapshot) {
+        receiveAs<RaftSnapshotRequest>(from, call.message, reply);
+    } else {
+        receiveAs<RaftVoteRequest>(from, call.message, reply);
+    }
 }
 
 bool ControlNode::onMemberCall(const std::string &from, MessageKind kind,
@@ -186,11 +202,11 @@
     switch (kind) {
     case MessageKind::PreVote:
     case MessageKind::Vote:
-        return receiveAs<RaftVoteRequest>(from, payload, reply);
     case MessageKind::AppendEntries:
-        return receiveAs<RaftAppendRequest>(from, payload, reply);
     case MessageKind::InstallSnapshot:
-        return receiveAs<RaftSnapshotRequest>(from, payload, reply);
+        if (const auto call = decodeOrReject<MemberCall>(payload, reply))
+            onCall(from, kind, *call, reply);
+        return true;
     case MessageKind::ControlStatus:
         reply(statusJson());
         return true;
@@ -352,7 +368,7 @@
         return;
     const auto kind = kindOf(outgoing.message);
     const auto timeout = kind == MessageKind::InstallSnapshot ? SnapshotCallTimeout : CallTimeout;
-    auto payload = encodeRaft(outgoing.message);
+    auto payload = encodeMessage(MemberCall{outgoing.to, encodeRaft(outgoing.message)});
     m_sentBytes += payload.size() + FrameHeaderBytes;
     peerOf(*member).client->call(
         kind, std::move(payload), timeout,
--- a/src/ControlNode.h
+++ b/src/ControlNode.h
@@ -111,8 +111,11 @@
         int consecutiveTimeouts = 0;
     };
 
+    /// Handles a call if it is for this member's present name.
+    void onCall(const std::string &from, MessageKind kind, const MemberCall &call,
+                const RpcReply &reply);
     template <typename T>
-    bool receiveAs(const std::string &from, const std::string &payload, const RpcReply &reply);
+    void receiveAs(const std::string &from, const std::string &payload, const RpcReply &reply);
     void receive(const std::string &from, const RaftMessage &message, RpcReply reply);
     void scheduleFlush();
     /// Executes the core's actions until none are left.
@@ -153,6 +156,7 @@
     std::optional<std::pair<std::string, RpcReply>> m_currentCall;
     RaftRole m_loggedRole = RaftRole::Follower;
     std::string m_loggedLeader;
+    std::string m_loggedAddressee; ///< The other name for which a call was refused last.
     std::uint64_t m_sentBytes = 0; ///< Bytes sent to other members, including frame headers.
     bool m_isLostDiskLogged = false;
     bool m_isFlushScheduled = false;
--- a/src/ControlProtocol.h
+++ b/src/ControlProtocol.h
@@ -9,6 +9,20 @@
 
 namespace Camphor {
 
+/// A call from one member of the group to another. It names the other one, because a process whose
+/// disk was lost serves the address of its former name, but has not cast that name's votes.
+struct MemberCall
+{
+    std::string to; ///< Name of the member that is called.
+    std::string message; ///< The encoded message of the protocol.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(to, message);
+    }
+};
+
 /// Requests whatever is newer than the last known versions (long poll). The reply is sent at once
 /// if there is something newer, and otherwise when there is or when the wait ends.
 struct SubscribeRequest
--- a/src/GroupMembership.cpp
+++ b/src/GroupMembership.cpp
@@ -19,10 +19,13 @@
     Milliseconds now;
     const GroupMembershipSettings &settings;
 
+    [[nodiscard]] bool isSilentFor(const RaftMember &member, Milliseconds time) const
+    {
+        return member.instance != leader && now - lastReply(member.instance) > time;
+    }
     [[nodiscard]] bool isSilent(const RaftMember &member) const
     {
-        return member.instance != leader
-            && now - lastReply(member.instance) > settings.memberTimeout;
+        return isSilentFor(member, settings.memberTimeout);
     }
 };
 
@@ -44,13 +47,13 @@
     return available;
 }
 
-/// A member at whose address a candidate with another name asks: it has lost its disk, and its
-/// votes with it.
+/// A member that does not reply, and at whose address a candidate with another name asks: it has
+/// lost its disk, and its votes with it.
 const RaftMember *findMemberWithoutDisk(const MembershipView &view,
                                         const std::vector<RaftMember> &candidates)
 {
     const auto it = std::ranges::find_if(view.group.members, [&](const RaftMember &member) {
-        return member.instance != view.leader
+        return view.isSilentFor(member, view.settings.lostDiskTimeout)
             && std::ranges::find(candidates, member.address, &RaftMember::address)
             != candidates.end();
     });
--- a/src/GroupMembership.h
+++ b/src/GroupMembership.h
@@ -22,6 +22,9 @@
     std::size_t voters = 3; ///< Tolerates the loss of one disk.
     /// A member that has not replied for this long is replaced if a candidate is available.
     Milliseconds memberTimeout{4'000};
+    /// A member that has replied within this time has its disk, whoever else asks from its address:
+    /// a request of an earlier process there may have waited on its way.
+    Milliseconds lostDiskTimeout{500};
     /// A candidate without contact for this long is not available.
     Milliseconds candidateTimeout{1'500};
 
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -188,6 +188,8 @@
                  "An incomplete record at the end of the replicated log was truncated at startup."},
     LogEventSpec{LogEvent::LossReported, "loss-reported", "instance tasks",
                  "An entry reported a lost instance and the number of tasks that ran on it."},
+    LogEventSpec{LogEvent::MemberCallRefused, "member-call-refused", "from to",
+                 "A member called this process under a name that it does not have any more."},
     LogEventSpec{LogEvent::MemberRemoved, "member-removed", "member action",
                  "The group removed this member, which restarts under another name."},
     LogEventSpec{LogEvent::MemberStarts, "member-starts",
--- a/src/LogEvents.h
+++ b/src/LogEvents.h
@@ -94,6 +94,7 @@
     LogCompacted,
     LogTailCut,
     LossReported,
+    MemberCallRefused,
     MemberRemoved,
     MemberStarts,
     MembershipChange,
--- a/test/correctness/GroupMembershipTest.cpp
+++ b/test/correctness/GroupMembershipTest.cpp
@@ -109,7 +109,12 @@
     }
     SECTION("another name at a member's address means that its disk was lost")
     {
+        // Guards against a healthy member that loses its vote because a request of an earlier
+        // process at its address has waited on its way.
         world.candidates["b#7"] = {makeMember("b#7", "10.0.0.2:1"), world.now};
+        world.replies["b"] = world.now - Milliseconds{100};
+        CHECK(world.next().kind == Kind::None);
+        world.replies["b"] = world.now - Milliseconds{600};
         CHECK(world.next().kind == Kind::Remove);
         CHECK(world.next().member.instance == "b");
     }
