--- a/test/correctness/CallerDisconnectTest.cpp
+++ b/test/correctness/CallerDisconnectTest.cpp
@@ -1,4 +1,5 @@
 /// @file Callers that have disconnected before the server reads their request or that fact.
+#include "EventLoops.h"
 #include "HttpServer.h"
 #include "TestProcess.h"
 
@@ -36,14 +37,7 @@
                      .value();
     }
 
-    bool runUntil(const std::function<bool()> &condition)
-    {
-        return waitUntil([&] {
-            io.restart();
-            io.poll();
-            return condition();
-        });
-    }
+    bool runUntil(const std::function<bool()> &condition) { return pollUntil({&io}, condition); }
 
     boost::asio::io_context io;
     Address address{"127.0.0.1", freePort()};
--- a/test/correctness/ExpiredRequestTest.cpp
+++ b/test/correctness/ExpiredRequestTest.cpp
@@ -1,6 +1,8 @@
 /// @file Submissions and offers that have waited until their sender may have lost its reason.
 #include "AsioSupport.h"
+#include "EventLoops.h"
 #include "FleetEntry.h"
+#include "NoInstances.h"
 #include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
@@ -15,16 +17,6 @@
 constexpr Milliseconds Hour{3'600'000};
 constexpr Milliseconds MaxRequestAge{200};
 
-/// A client that is never called, because no instance is known.
-class NoInstances : public InstanceClient
-{
-public:
-    void start(const StartOrder &, Milliseconds, OrderCallback) override { }
-    void stop(const StopOrder &, Milliseconds, OrderCallback) override { }
-    void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
-    void setOnDisconnect(std::function<void(const std::string &)>) override { }
-};
-
 std::string payloadOf(MessageKind kind)
 {
     switch (kind) {
@@ -78,19 +70,9 @@
                      [this](const RpcResult &it) { results.push_back(it); });
     }
 
-    static void runAWhile(boost::asio::io_context &io)
-    {
-        io.restart();
-        io.run_for(std::chrono::milliseconds(5));
-    }
-
     bool runUntil(const std::function<bool()> &condition)
     {
-        return waitUntil([&] {
-            runAWhile(clientIo);
-            runAWhile(entryIo);
-            return condition();
-        });
+        return pollUntil({&clientIo, &entryIo}, condition);
     }
 
     /// Makes a request that waits in the paused entry's socket for longer than it may.
@@ -99,7 +81,7 @@
         call(MessageKind::Ping);
         REQUIRE(runUntil([&] { return results.size() == 1; }));
         call(kind);
-        runAWhile(clientIo);
+        poll(clientIo);
         std::this_thread::sleep_for(toChrono(MaxRequestAge + Milliseconds{1}));
         results.clear();
     }
--- a/test/correctness/FleetEntryTest.cpp
+++ b/test/correctness/FleetEntryTest.cpp
@@ -1,5 +1,6 @@
 /// @file An entry that has just started, before control instances and holders are available.
 #include "FleetEntry.h"
+#include "NoInstances.h"
 #include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
@@ -13,16 +14,6 @@
 
 constexpr Milliseconds Hour{3'600'000};
 
-/// A client that is never called, because no instance is known.
-class NoInstances : public InstanceClient
-{
-public:
-    void start(const StartOrder &, Milliseconds, OrderCallback) override { }
-    void stop(const StopOrder &, Milliseconds, OrderCallback) override { }
-    void hold(const HoldOrder &, Milliseconds, HoldCallback) override { }
-    void setOnDisconnect(std::function<void(const std::string &)>) override { }
-};
-
 std::string encodedConfiguration(std::uint64_t version)
 {
     FleetConfiguration configuration;
--- a/test/correctness/HolderLinkTest.cpp
+++ b/test/correctness/HolderLinkTest.cpp
@@ -1,5 +1,6 @@
 /// @file Connections to cell holders: detection of a lost holder, and when it is used again.
 #include "HolderLink.h"
+#include "EventLoops.h"
 #include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
@@ -29,11 +30,7 @@
 /// Runs the event loop until a condition holds.
 void runUntil(boost::asio::io_context &io, const std::function<bool()> &condition)
 {
-    REQUIRE(waitUntil([&] {
-        io.restart();
-        io.poll();
-        return condition();
-    }));
+    REQUIRE(pollUntil({&io}, condition));
 }
 
 /// Stops both sides; otherwise open connections keep each other alive.
--- a/test/correctness/MemberNameTest.cpp
+++ b/test/correctness/MemberNameTest.cpp
@@ -1,5 +1,6 @@
 /// @file A control instance at the address of a member whose disk was lost.
 #include "ControlProtocol.h"
+#include "EventLoops.h"
 #include "FleetControl.h"
 #include "RaftCore.h"
 #include "RpcClient.h"
@@ -32,29 +33,22 @@
         settings.dataFolder = (folder.path() / "data").string();
         // The process asks for its membership at the address of its seed, with its own RPC port.
         leaderAddress.port = address.port;
-        leader = RpcServer::make(io, leaderAddress, makeRpc(Leader),
-                                 [this](const Hello &, MessageKind kind, const std::string &payload,
-                                        const RpcReply &reply) {
-                                     if (kind == MessageKind::JoinGroup)
-                                         name = decodeMessage<JoinGroupRequest>(payload)
-                                                    .value()
-                                                    .member.instance;
-                                     reply(encodeMessage(JoinGroupReply{}));
-                                 })
+        leader = RpcServer::make(
+                     io, leaderAddress, makeRpc(Leader),
+                     [this](const Hello &, MessageKind kind, const std::string &payload,
+                            const RpcReply &reply) {
+                         if (kind == MessageKind::JoinGroup)
+                             name =
+                                 decodeMessage<JoinGroupRequest>(payload).value().member.instance;
+                         reply(encodeMessage(JoinGroupReply{}));
+                     })
                      .value();
         control = FleetControl::make(io, settings).value();
         client = RpcClient::make(io, address, makeRpc(Leader));
         REQUIRE(runUntil([&] { return name.has_value(); }));
     }
 
-    bool runUntil(const std::function<bool()> &condition)
-    {
-        return waitUntil([&] {
-            io.restart();
-            io.run_for(std::chrono::milliseconds(5));
-            return condition();
-        });
-    }
+    bool runUntil(const std::function<bool()> &condition) { return pollUntil({&io}, condition); }
 
     template <typename T>
     RpcResult call(MessageKind kind, const std::string &to, const T &message)
--- a/test/correctness/RequestAgeTest.cpp
+++ b/test/correctness/RequestAgeTest.cpp
@@ -1,6 +1,7 @@
 /// @file What a server knows of the age of requests that have waited at their sender, in a socket
 /// or on a link.
 #include "AsioSupport.h"
+#include "EventLoops.h"
 #include "FrameStream.h"
 #include "RpcClient.h"
 #include "RpcSupport.h"
@@ -68,12 +69,6 @@
         client->call(kind, payload, Hour, [this](const RpcResult &it) { results.push_back(it); });
     }
 
-    static void poll(boost::asio::io_context &io)
-    {
-        io.restart();
-        io.poll();
-    }
-
     /// Runs the client alone; the server is paused.
     void runClient()
     {
@@ -85,11 +80,7 @@
     /// Runs both ends until a condition holds.
     bool runUntil(const std::function<bool()> &condition)
     {
-        return waitUntil([&] {
-            poll(clientIo);
-            poll(serverIo);
-            return condition();
-        });
+        return pollUntil({&clientIo, &serverIo}, condition);
     }
 
     boost::asio::io_context serverIo;
@@ -176,8 +167,8 @@
     ends.call(MessageKind::Ping, {});
     REQUIRE(waitUntil([&] {
         if (ends.handled.size() < 2)
-            Ends::poll(ends.clientIo);
-        Ends::poll(ends.serverIo);
+            poll(ends.clientIo);
+        poll(ends.serverIo);
         return ends.handled.size() == 2;
     }));
     std::this_thread::sleep_for(toChrono(MaxClockError * 2));
@@ -228,11 +219,7 @@
     boost::asio::io_context clientIo;
     const auto client = RpcClient::make(clientIo, address, makeClientSettings(Hour));
     const auto runUntil = [&](const std::function<bool()> &condition) {
-        return waitUntil([&] {
-            Ends::poll(clientIo);
-            Ends::poll(server.io);
-            return condition();
-        });
+        return pollUntil({&clientIo, &server.io}, condition);
     };
     int failures = 0;
     const auto call = [&] {
@@ -266,14 +253,10 @@
         encodeFrame({0, 0, 0, MessageKind::Hello, FrameType::Request}, encodeMessage(hello)));
     const auto future = static_cast<std::uint64_t>((SteadyClock().now() + Hour).count());
     stream->send(encodeFrame({0, 1, future, MessageKind::SubmitJob, FrameType::Request}, {}));
-    CHECK(waitUntil([&] {
-        Ends::poll(io);
-        Ends::poll(ends.serverIo);
-        return ends.handled.size() == 1;
-    }));
+    CHECK(pollUntil({&io, &ends.serverIo}, [&] { return ends.handled.size() == 1; }));
     CHECK(ends.handled.front().sentAfter == Milliseconds{0});
     stream->close(Error{ErrorCode::Unavailable, "end of the test"});
-    Ends::poll(io);
+    poll(io);
 }
 
 TEST_CASE("a client that needs no clock sends its requests at once", "[rpc]")
