Split startOffered, and give the requester's age one place

startOffered both found room for offered runs and started them; placeOffered() finds the room now. requesterAge() and requesterAges() shared one subtraction.

--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -257,6 +257,14 @@
         Milliseconds wantedAt;
     };
 
+    /// Where an offered run is to start.
+    struct Placement
+    {
+        RunKey key;
+        LeasedInstance *instance = nullptr;
+        bool isExclusive = false; ///< No other run starts beside it.
+    };
+
     /// An instance on which tasks of one step can start.
     struct Candidate
     {
@@ -301,6 +309,10 @@
     [[nodiscard]] bool hasWaitingTask(const Job &job) const;
     /// The runs to offer of a job, or nothing.
     [[nodiscard]] std::optional<RunOffer> makeOffer(Job &job, Milliseconds now);
+    /// Finds room for offered runs: for all or none of them if the offer says so.
+    [[nodiscard]] std::vector<Placement> placeOffered(const RunOffer &offer,
+                                                      const std::string &service,
+                                                      Milliseconds renewalLimit, Milliseconds now);
     void chargeQueue(const std::string &queue, const JobStep &step, Milliseconds expected);
     void startWaitingJobs(Milliseconds now);
     void raiseVirtualTime(const std::string &queue);
@@ -317,6 +329,10 @@
     /// The same for a run, also one accepted from another holder. Nothing if its job has ended.
     [[nodiscard]] std::optional<Milliseconds> lastWantedAt(const RunKey &key,
                                                            Milliseconds now) const;
+    [[nodiscard]] Milliseconds requesterAge(const Job &job, Milliseconds now) const
+    {
+        return now - lastWantedAt(job, now);
+    }
     /// Until when the lease of a run may be renewed without another sign of its requester: later,
     /// the caller may have sent the job to another holder.
     /// NoRenewalLimit if the job has ended: the instance has the limit of the abandoned run.
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -127,7 +127,7 @@
 Milliseconds RunScheduler::requesterAge(const JobKey &key, Milliseconds now) const
 {
     const auto *job = find(key);
-    return job == nullptr ? Milliseconds{0} : now - lastWantedAt(*job, now);
+    return job == nullptr ? Milliseconds{0} : requesterAge(*job, now);
 }
 
 RequesterAges RunScheduler::requesterAges(const std::string &holder, Milliseconds now) const
@@ -141,7 +141,7 @@
             return std::ranges::any_of(tasks, isThere);
         });
         if (hasRuns)
-            ages.jobs.push_back({{id, job.submission}, (now - lastWantedAt(job, now)).count()});
+            ages.jobs.push_back({{id, job.submission}, requesterAge(job, now).count()});
     }
     return ages;
 }
@@ -164,28 +164,13 @@
     }
 }
 
-RunOfferReply RunScheduler::startOffered(const RunOffer &offer, const std::string &requester,
-                                         Milliseconds now)
+std::vector<RunScheduler::Placement> RunScheduler::placeOffered(const RunOffer &offer,
+                                                                const std::string &service,
+                                                                Milliseconds renewalLimit,
+                                                                Milliseconds now)
 {
-    addRequester(requester, now);
-    const auto *rule = m_configuration ? m_configuration->find(offer.queue) : nullptr;
-    // A submission of the same job that this holder has itself decides where its tasks run.
-    if (rule == nullptr || m_jobs.contains(offer.job.id))
-        return {};
-    // The runs of a lost requester would be stopped at once.
-    const auto contactAt = lastContactAt(requester, now);
-    if (now - contactAt > m_settings.requesterTimeout)
-        return {};
-    const auto wantedAt = contactAt - Milliseconds{offer.requesterAgeMs};
-    const auto limit = renewalLimitOf(wantedAt);
-    auto found = candidates(rule->service, offer.step,
-                            taskNamePrefix(offer.job.id, offer.stepIndex), limit, now);
-    struct Placement
-    {
-        RunKey key;
-        LeasedInstance *instance = nullptr;
-        bool isExclusive = false;
-    };
+    auto found = candidates(service, offer.step, taskNamePrefix(offer.job.id, offer.stepIndex),
+                            renewalLimit, now);
     std::vector<Placement> placed;
     for (const auto &run : offer.runs) {
         // A run of an earlier submission of the job may not have ended yet.
@@ -199,7 +184,25 @@
         placed.push_back({run.key, candidate->instance, suspicion != TaskSuspicion::None});
     }
     if (offer.allOrNone && placed.size() < offer.runs.size())
+        placed.clear();
+    return placed;
+}
+
+RunOfferReply RunScheduler::startOffered(const RunOffer &offer, const std::string &requester,
+                                         Milliseconds now)
+{
+    addRequester(requester, now);
+    const auto *rule = m_configuration ? m_configuration->find(offer.queue) : nullptr;
+    // A submission of the same job that this holder has itself decides where its tasks run.
+    if (rule == nullptr || m_jobs.contains(offer.job.id))
         return {};
+    // The runs of a lost requester would be stopped at once.
+    const auto contactAt = lastContactAt(requester, now);
+    if (now - contactAt > m_settings.requesterTimeout)
+        return {};
+    const auto wantedAt = contactAt - Milliseconds{offer.requesterAgeMs};
+    const auto limit = renewalLimitOf(wantedAt);
+    const auto placed = placeOffered(offer, rule->service, limit, now);
     const auto estimate =
         m_runTimes.estimate(offer.queue, Milliseconds{double(offer.step.estimatedMs)});
     std::vector<RunKey> started;
