Send requests also to a server that is slow to tell its clock

Found while the diff was read.

Change: after a reply to a clock request, what waits is sent however inexact the reading is; the server judges its age by it.

--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -161,9 +161,9 @@
     void onRpc(const RequestOrigin &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply, Milliseconds readAt);
     void onSubmit(const std::string &requester, const std::string &payload, const RpcReply &reply);
-    /// Whether there was so long no scheduling pass that callers may have left unnoticed.
-    /// Counts and logs a request that was made too long ago to be handled.
+    /// Whether a request was made too long ago to be handled; counts and logs it.
     [[nodiscard]] bool isExpired(const RequestOrigin &peer, MessageKind kind);
+    /// Whether there was so long no scheduling pass that callers may have left unnoticed.
     [[nodiscard]] bool wasUnnoticedPause(Milliseconds now) const;
     /// The requesters of the jobs with runs at another holder, for it; empty if there are none.
     [[nodiscard]] std::string pingPayload(const std::string &address) const;
--- a/src/RpcClient.cpp
+++ b/src/RpcClient.cpp
@@ -121,21 +121,22 @@
         });
         m_pending[correlation] = std::move(call);
         m_unsent.push_back(correlation);
-        sendUnsent();
+        trySend();
     }
 
-    /// Sends what waits, once there is a connection and, if it is needed, the server's clock.
-    void sendUnsent()
+    /// Sends what waits, or first connects or asks for the server's clock.
+    void trySend()
     {
-        if (!m_stream) {
-            if (!m_socket)
-                connect();
-            return;
-        }
-        if (!knowsClock()) {
+        if (m_stream && knowsClock())
+            sendUnsent();
+        else if (m_stream)
             requestClock();
-            return;
-        }
+        else if (!m_socket)
+            connect();
+    }
+
+    void sendUnsent()
+    {
         for (const auto correlation : std::exchange(m_unsent, {})) {
             const auto it = m_pending.find(correlation);
             if (it == m_pending.end())
@@ -220,7 +221,7 @@
                           m_settings.incarnation};
         m_stream->send(
             encodeFrame({0, 0, 0, MessageKind::Hello, FrameType::Request}, encodeMessage(hello)));
-        sendUnsent();
+        trySend();
     }
 
     void onFrame(const FrameHeader &header, std::string payload)
@@ -228,6 +229,7 @@
         if (header.type == FrameType::Clock) {
             m_isClockRequested = false;
             readClock(header, m_lastClockRequestAt);
+            // However inexact: a server that is slow to reply is so the next time, too.
             sendUnsent();
             return;
         }
--- a/src/RpcServer.h
+++ b/src/RpcServer.h
@@ -29,8 +29,8 @@
     Milliseconds connectTimeout{500};
     /// Longest wait for the first frame of a peer.
     Milliseconds helloTimeout{2'000};
-    /// A client sends no request while it knows the server's clock less exactly: it asks for the
-    /// clock first. 0 if the server need not know the age of requests.
+    /// A client that knows the server's clock less exactly asks for the clock before it sends. 0 if
+    /// the server need not know the age of requests.
     Milliseconds maxClockError{0};
 
     auto operator<=>(const RpcSettings &) const = default;
--- a/test/correctness/RequestAgeTest.cpp
+++ b/test/correctness/RequestAgeTest.cpp
@@ -194,6 +194,17 @@
     CHECK(ends.handled.back().sentAfter <= calledAt);
 }
 
+TEST_CASE("requests are sent to a server that is slow to tell its clock", "[rpc]")
+{
+    // Guards against a client that asks an overloaded server for its clock again and again.
+    constexpr Milliseconds Unreachable{0.000'001};
+    Ends ends(Unreachable);
+    for (std::size_t n = 1; n <= 3; ++n) {
+        ends.call(MessageKind::Ping, {});
+        REQUIRE(ends.runUntil([&] { return ends.results.size() == n; }));
+    }
+}
+
 TEST_CASE("requests that wait for the server's clock are handled in order", "[rpc]")
 {
     // Guards against a cancellation that overtakes the job that it cancels.
