Serve operators' drains of a failure domain

Cause: POST and DELETE /drain/DOMAIN were answered with 404 and had no effect.

Change: the drained domains are replicated state of the control group, with a revision that only grows. Entries learn them with their polls, start nothing on instances of a drained domain, route no job there, and give back the jobs that have not started. Orders whose operator has left, or that were forwarded late, are dropped. The wire version is 7.

--- a/src/ControlNode.cpp
+++ b/src/ControlNode.cpp
@@ -37,7 +37,7 @@
 /// The first byte of an encoded command. 'D' was a stored document without its content.
 char letterOf(const ControlCommand &command)
 {
-    constexpr std::string_view Letters = "ABCFE";
+    constexpr std::string_view Letters = "ABCFEG";
     return Letters.at(command.index());
 }
 
@@ -68,6 +68,8 @@
         return applyAs<StoreDocumentCommand>(state, body);
     case 'E':
         return applyAs<GrantCellCommand>(state, body);
+    case 'G':
+        return applyAs<DrainDomainCommand>(state, body);
     default:
         throw UserError(Error{ErrorCode::Storage, "the log contains an unknown command type"});
     }
--- a/src/ControlNode.h
+++ b/src/ControlNode.h
@@ -26,9 +26,9 @@
 namespace Camphor {
 
 using ControlCommand = std::variant<ApplyCommand, CompareAndSetCommand, MoveBucketCommand,
-                                    StoreDocumentCommand, GrantCellCommand>;
-using ControlReply =
-    std::variant<ApplyReply, ReplicaSetReply, MoveBucketReply, StoreDocumentReply, GrantCellReply>;
+                                    StoreDocumentCommand, GrantCellCommand, DrainDomainCommand>;
+using ControlReply = std::variant<ApplyReply, ReplicaSetReply, MoveBucketReply, StoreDocumentReply,
+                                  GrantCellReply, DrainDomainReply>;
 
 /// One member of the control group. All functions must be called on strand().
 class ControlNode : public std::enable_shared_from_this<ControlNode>
--- a/src/ControlState.cpp
+++ b/src/ControlState.cpp
@@ -27,12 +27,22 @@
     StoredDocument document;
     std::vector<CellGrant> grants;
     std::uint64_t lastToken = 0;
+    DomainDrains drains;
 
     template <typename Archive>
-    void serialize(Archive &archive)
+    void save(Archive &archive) const
+    {
+        archive(history, recentRequests, domains, replicaSets, buckets, declaredDomains, document,
+                grants, lastToken, drains);
+    }
+    template <typename Archive>
+    void load(Archive &archive)
     {
         archive(history, recentRequests, domains, replicaSets, buckets, declaredDomains, document,
                 grants, lastToken);
+        // A version that could not drain domains has stored a state without drains.
+        if (archive.remaining() > 0)
+            archive(drains);
     }
 };
 
@@ -269,6 +279,20 @@
     return {ControlOutcome::Accepted, current};
 }
 
+DrainDomainReply ControlState::apply(const DrainDomainCommand &command)
+{
+    if (m_drains.contains(command.domain) != command.isDrained) {
+        auto &domains = m_drains.domains;
+        const auto at = std::ranges::lower_bound(domains, command.domain);
+        if (command.isDrained)
+            domains.insert(at, command.domain);
+        else
+            domains.erase(at);
+        ++m_drains.revision;
+    }
+    return {m_drains.revision};
+}
+
 std::uint64_t ControlState::bucketVersion() const
 {
     return std::accumulate(
@@ -292,6 +316,7 @@
     for (const auto &[domain, grant] : m_grants)
         stored.grants.push_back(grant);
     stored.lastToken = m_lastToken;
+    stored.drains = m_drains;
     return encodeMessage(stored);
 }
 
@@ -328,6 +353,7 @@
     for (auto &grant : stored.grants)
         state.m_grants[grant.name()] = grant;
     state.m_lastToken = stored.lastToken;
+    state.m_drains = std::move(stored.drains);
     return state;
 }
 
--- a/src/ControlState.h
+++ b/src/ControlState.h
@@ -207,6 +207,26 @@
     auto operator<=>(const GrantCellReply &) const = default;
 };
 
+/// Starts or ends the drain of a failure domain. Idempotent.
+struct DrainDomainCommand
+{
+    std::string domain;
+    bool isDrained = false;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(domain, isDrained);
+    }
+};
+
+struct DrainDomainReply
+{
+    std::uint64_t revision = 0; ///< Of the drains after the command.
+
+    auto operator<=>(const DrainDomainReply &) const = default;
+};
+
 /// An accepted version of the declaration.
 struct VersionRecord
 {
@@ -243,6 +263,7 @@
     [[nodiscard]] MoveBucketReply apply(const MoveBucketCommand &command);
     [[nodiscard]] StoreDocumentReply apply(const StoreDocumentCommand &command);
     [[nodiscard]] GrantCellReply apply(const GrantCellCommand &command);
+    [[nodiscard]] DrainDomainReply apply(const DrainDomainCommand &command);
 
     [[nodiscard]] VersionedDeclaration current() const;
     [[nodiscard]] std::uint64_t version() const;
@@ -262,6 +283,8 @@
     [[nodiscard]] const std::map<std::string, CellGrant> &grants() const { return m_grants; }
     /// The fencing token of the newest grant.
     [[nodiscard]] std::uint64_t lastToken() const { return m_lastToken; }
+    /// The failure domains that are drained.
+    [[nodiscard]] const DomainDrains &drains() const { return m_drains; }
 
     /// The version of the bucket map. It increases with each step of a move and is 0 while there is
     /// no map.
@@ -307,6 +330,7 @@
     StoredDocument m_document;
     std::map<std::string, CellGrant> m_grants;
     std::uint64_t m_lastToken = 0;
+    DomainDrains m_drains;
     std::set<std::string> m_declaredDomains; ///< Failure domains that the current version declares.
 };
 
--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -72,6 +72,7 @@
     request.directoryEpoch = source.epoch;
     request.directoryRevision = source.revision;
     request.lossRevision = source.lossRevision;
+    request.drainRevision = m_view.drains.revision;
     request.documentVersion = m_announcedVersion;
     request.waitMs = static_cast<std::uint32_t>(wait.count());
     for (const auto &[name, grant] : m_view.grants)
@@ -224,6 +225,7 @@
             .kv("holder", grant.holder)
             .kv("token", grant.token);
     }
+    hasChanged = raiseDrains(update.drains) || hasChanged;
     addSeeds(update.controlAddresses);
     m_instances = static_cast<std::uint32_t>(
         std::ranges::count_if(m_view.instances.instances(), [&](const auto &it) {
@@ -234,6 +236,20 @@
         m_onChange();
 }
 
+bool ControlWatch::raiseDrains(const DomainDrains &drains)
+{
+    if (drains.revision <= m_view.drains.revision)
+        return false;
+    m_view.drains = drains;
+    // The order comes from another process, and contains() requires it.
+    std::ranges::sort(m_view.drains.domains);
+    std::string names;
+    for (const auto &domain : m_view.drains.domains)
+        names += (names.empty() ? "" : ",") + domain;
+    Log::info(LogEvent::DomainDrainsInForce).kv("revision", drains.revision).kv("domains", names);
+    return true;
+}
+
 void ControlWatch::reportLosses(const std::vector<InstanceLoss> &losses)
 {
     (void)addLosses(losses);
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -32,6 +32,7 @@
     std::map<std::string, CellGrant> grants; ///< By cell name.
     InstanceView instances;
     CrashHistory losses;
+    DomainDrains drains;
 };
 
 struct ControlWatchSettings
@@ -98,6 +99,8 @@
     void onUpdate(Source &source, const FleetUpdate &update);
     /// @return whether any loss was not known yet.
     bool addLosses(const std::vector<InstanceLoss> &losses);
+    /// Takes the drained domains of a member unless it lags. @return whether they have changed.
+    [[nodiscard]] bool raiseDrains(const DomainDrains &drains);
     /// The newest losses that are remembered, as many as fit into a message.
     [[nodiscard]] std::vector<InstanceLoss> newestLosses();
     /// Sends losses, except those that exceed the bounds of a message.
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -165,8 +165,8 @@
     settings.maxConnections = 1'024;
     auto rpc = RpcServer::make(
         m_io, m_settings.listen, settings,
-        [self = shared_from_this()](const Hello &peer, MessageKind kind, const std::string &payload,
-                                    const RpcReply &reply) {
+        [self = shared_from_this()](const RequestOrigin &peer, MessageKind kind,
+                                    const std::string &payload, const RpcReply &reply) {
             Asio::post(self->m_node->strand(), [=] { self->onRpc(peer, kind, payload, reply); });
         });
     if (!rpc)
@@ -257,6 +257,8 @@
                        static_cast<double>(m_node->configuration().voterCount()));
     m_metrics.setGauge("camphorspindle_instances_known", "Instances known to this member.",
                        static_cast<double>(m_directory.size()));
+    m_metrics.setGauge("camphorspindle_domains_drained", "Failure domains that are drained.",
+                       static_cast<double>(m_node->state().drains().domains.size()));
     m_metrics.setGauge("camphorspindle_losses_known", "Lost instances that are remembered.",
                        static_cast<double>(m_losses.size()));
     return m_metrics.text();
@@ -264,7 +266,7 @@
 
 // --- Calls of other processes
 
-void FleetControl::onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
+void FleetControl::onRpc(const RequestOrigin &peer, MessageKind kind, const std::string &payload,
                          const RpcReply &reply)
 {
     if (m_node->onMemberCall(peer.instance, kind, payload, reply))
@@ -282,6 +284,8 @@
         return onStore(payload, reply);
     case MessageKind::ReadDocument:
         return onRead(reply);
+    case MessageKind::DrainDomain:
+        return onDrain(peer, payload, reply);
     default:
         return reply(
             Error{ErrorCode::InvalidRequest, "a control instance does not support this call"});
@@ -347,7 +351,7 @@
     return request.directoryEpoch != m_epoch || request.directoryRevision < m_directory.revision()
         || request.lossRevision < m_losses.revision()
         || request.documentVersion < state.document().version
-        || request.lastToken < state.lastToken();
+        || request.lastToken < state.lastToken() || request.drainRevision < state.drains().revision;
 }
 
 FleetUpdate FleetControl::makeUpdate(const WatchFleetRequest &request) const
@@ -368,6 +372,8 @@
         std::ranges::transform(state.grants(), std::back_inserter(update.grants),
                                [](const auto &it) { return it.second; });
     }
+    if (request.drainRevision < state.drains().revision)
+        update.drains = state.drains();
     update.controlAddresses = controlAddresses();
     update.isLeader = m_node->isLeader();
     return update;
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -46,6 +46,15 @@
 
 using OperatorCallback = std::function<void(OperatorResponse)>;
 
+/// An operator's order to start or end the drain of a failure domain.
+struct DrainOrder
+{
+    DrainDomainRequest request;
+    /// Whether the operator still waits for the answer. One that has left sends the order again, or
+    /// has sent a later one meanwhile.
+    std::function<bool()> isWanted = [] { return true; };
+};
+
 /// All calls must come from the thread of the io_context.
 class FleetControl : public std::enable_shared_from_this<FleetControl>
 {
@@ -62,6 +71,10 @@
                        OperatorCallback callback);
     /// Reads the newest configuration, confirmed by a majority.
     void readDocument(OperatorCallback callback);
+    /// Whether the settings name this failure domain.
+    [[nodiscard]] bool hasDomain(const std::string &domain) const;
+    /// Starts or ends a drain; calls back when the order is on a majority of disks.
+    void drainDomain(DrainOrder order, OperatorCallback callback);
     /// Replaces the addresses at which to find the group. The founders do not change.
     void replaceSeeds(std::vector<Address> seeds);
     void reportInstance(const InstanceReport &report);
@@ -90,7 +103,7 @@
     /// reports and serves entries, but replies to nothing that depends on the disk.
     void scheduleReopen(const Error &reason);
     [[nodiscard]] Result<std::string> loadOrCreateName(const RaftStorage &storage) const;
-    void onRpc(const Hello &peer, MessageKind kind, const std::string &payload,
+    void onRpc(const RequestOrigin &peer, MessageKind kind, const std::string &payload,
                const RpcReply &reply);
     void onWatch(const std::string &payload, const RpcReply &reply);
     void onReportLosses(const std::string &payload, const RpcReply &reply);
@@ -118,12 +131,14 @@
     [[nodiscard]] RaftMember self() const;
     void onStore(const std::string &payload, const RpcReply &reply);
     void onRead(const RpcReply &reply);
+    void onDrain(const RequestOrigin &peer, const std::string &payload, const RpcReply &reply);
     /// Returns a callback that also logs the answer to an operator's change.
     [[nodiscard]] OperatorCallback logAnswer(std::uint64_t version, OperatorCallback callback);
     /// Forwards an operator's request to the leader.
     void forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback);
     void storeAsLeader(StoredDocument document, OperatorCallback callback);
     void readAsLeader(OperatorCallback callback);
+    void drainAsLeader(const DrainDomainRequest &request, OperatorCallback callback);
 
     boost::asio::io_context &m_io;
     FleetControlSettings m_settings;
--- a/src/FleetControlOperator.cpp
+++ b/src/FleetControlOperator.cpp
@@ -1,4 +1,5 @@
-/// @file Changes and reads of the configuration by operators, at the leader or forwarded to it.
+/// @file Orders of operators, at the leader or forwarded to it: changes and reads of the
+/// configuration, and drains of failure domains.
 #include "FleetControl.h"
 
 #include "Log.h"
@@ -7,6 +8,8 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace Camphor {
 
 namespace {
@@ -15,6 +18,11 @@
 
 /// Operators try another member after a second without a response.
 constexpr Milliseconds ForwardTimeout{800};
+/// An older order to drain a domain may have been overtaken by a later one for the same domain.
+constexpr Milliseconds MaxDrainOrderAge{1'000};
+/// How exactly a member must know the leader's clock before it forwards an order, so that the
+/// leader knows the age of the order.
+constexpr Milliseconds MaxLeaderClockError{200};
 
 } // namespace
 
@@ -27,8 +35,11 @@
         callback({});
         return;
     }
-    if (!m_leaderClient || m_leaderClient->address() != address->value())
-        m_leaderClient = RpcClient::make(m_io, address->value(), m_rpcSettings);
+    if (!m_leaderClient || m_leaderClient->address() != address->value()) {
+        auto settings = m_rpcSettings;
+        settings.maxClockError = MaxLeaderClockError;
+        m_leaderClient = RpcClient::make(m_io, address->value(), settings);
+    }
     m_leaderClient->call(kind, std::move(payload), ForwardTimeout,
                          [self = shared_from_this(), client = m_leaderClient,
                           callback = std::move(callback)](const RpcResult &result) {
@@ -136,6 +147,80 @@
                   [reply](const OperatorResponse &response) { reply(encodeMessage(response)); });
 }
 
+bool FleetControl::hasDomain(const std::string &domain) const
+{
+    return std::ranges::find(m_settings.domains, domain) != m_settings.domains.end();
+}
+
+void FleetControl::drainDomain(DrainOrder order, OperatorCallback callback)
+{
+    const auto logged = [self = shared_from_this(), request = order.request, since = m_clock.now(),
+                         callback = std::move(callback)](const OperatorResponse &response) {
+        Log::info(LogEvent::DomainDrainAnswered)
+            .kv("domain", request.domain)
+            .kv("drained", request.isDrained)
+            .kv("result", response.isDone ? "acknowledged" : "unknown")
+            .kv("ms", (self->m_clock.now() - since).count());
+        callback(response);
+    };
+    Asio::dispatch(m_node->strand(), [self = shared_from_this(), order = std::move(order), logged] {
+        // The order may have waited in this process while it was paused.
+        if (!order.isWanted()) {
+            Log::info(LogEvent::DomainDrainExpired)
+                .kv("domain", order.request.domain)
+                .kv("drained", order.request.isDrained)
+                .kv("reason", "operator-disconnected");
+            logged({});
+        } else if (self->m_node->isLeader()) {
+            self->drainAsLeader(order.request, logged);
+        } else {
+            self->forwardToLeader(MessageKind::DrainDomain, encodeMessage(order.request), logged);
+        }
+    });
+}
+
+void FleetControl::drainAsLeader(const DrainDomainRequest &request, OperatorCallback callback)
+{
+    m_node->propose(DrainDomainCommand{request.domain, request.isDrained},
+                    [self = shared_from_this(), request,
+                     callback = std::move(callback)](const std::optional<ControlReply> &reply) {
+                        const auto *stored =
+                            reply ? std::get_if<DrainDomainReply>(&*reply) : nullptr;
+                        Log::info(LogEvent::DomainDrainStored)
+                            .kv("domain", request.domain)
+                            .kv("drained", request.isDrained)
+                            .kv("result", stored != nullptr ? "accepted" : "unknown")
+                            .kv("revision", stored != nullptr ? stored->revision : 0);
+                        callback({stored != nullptr, 0, {}});
+                        // Entries wait for nothing else than this change, so they learn it now.
+                        self->replyToWatchers(false);
+                    });
+}
+
+void FleetControl::onDrain(const RequestOrigin &peer, const std::string &payload,
+                           const RpcReply &reply)
+{
+    const auto request = decodeOrReject<DrainDomainRequest>(payload, reply);
+    if (!request)
+        return;
+    const auto age = m_clock.now() - peer.sentAfter;
+    if (age > MaxDrainOrderAge) {
+        Log::info(LogEvent::DomainDrainExpired)
+            .kv("domain", request->domain)
+            .kv("drained", request->isDrained)
+            .kv("reason", "late")
+            .kv("ms", age.count());
+        reply(Error{ErrorCode::Expired, "the order has become too old"});
+        return;
+    }
+    if (!m_node->isLeader()) {
+        reply(encodeMessage(OperatorResponse{}));
+        return;
+    }
+    drainAsLeader(*request,
+                  [reply](const OperatorResponse &response) { reply(encodeMessage(response)); });
+}
+
 void FleetControl::onRead(const RpcReply &reply)
 {
     if (!m_node->isLeader()) {
--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr std::uint32_t NoHolderRetryMs = 1'000;
-/// Reasons after which another holder is tried.
-constexpr const char *NotHolderReason = "not-holder";
 /// After this share of a ping period without a scheduling pass, the connections of the callers are
 /// looked at before anything is renewed or told for them.
 constexpr double UnnoticedPauseShare = 0.75;
@@ -33,6 +31,12 @@
     return {JobVerdict::NotRun, reason, retryAfterMs};
 }
 
+/// Whether another holder is to be tried.
+bool isNotHolder(const JobOutcome &outcome)
+{
+    return outcome.verdict == JobVerdict::NotRun && outcome.reason == NotHolderReason;
+}
+
 LogEvent eventOf(ScheduleEvent::Kind kind)
 {
     switch (kind) {
@@ -190,6 +194,7 @@
         if (grant != nullptr && isOwn(*grant))
             tokens[id] = grant->token;
     }
+    m_scheduler.setDrains(view.drains);
     m_scheduler.setInstances(view.instances.instances(), tokens, m_clock.now());
     m_scheduler.addLosses(view.losses.addedSince(m_lossRevision), m_clock.now());
     m_lossRevision = view.losses.revision();
@@ -220,6 +225,8 @@
                        static_cast<double>(m_scheduler.jobCount()));
     m_metrics.setGauge("camphorspindle_cells_held", "Cells held by this entry.",
                        static_cast<double>(m_heldCells.size()));
+    m_metrics.setGauge("camphorspindle_domains_drained", "Failure domains that are drained.",
+                       static_cast<double>(m_watch->view().drains.domains.size()));
     m_metrics.setGauge("camphorspindle_instances_usable", "Held instances that can start new runs.",
                        static_cast<double>(m_scheduler.usableInstances(now)));
     m_metrics.setGauge("camphorspindle_caller_connections", "Open connections of callers.",
@@ -255,6 +262,7 @@
     const auto isUsable = [&](const CellGrant &grant) {
         const auto full = m_fullUntil.find(grant.address);
         return std::ranges::find(tried, grant.address) == tried.end()
+            && !m_watch->view().drains.contains(grant.domain)
             && (isOwn(grant) || m_link->isUsable(grant.address))
             && (!skipsFull || full == m_fullUntil.end() || now >= full->second);
     };
@@ -394,7 +402,7 @@
         return;
     }
     const auto &outcome = std::get<JobOutcome>(it);
-    if (outcome.verdict == JobVerdict::NotRun && outcome.reason == NotHolderReason)
+    if (isNotHolder(outcome))
         route(key);
     else
         respond(key.id, outcome);
@@ -666,7 +674,11 @@
                 reply(encodeMessage(outcome));
         }
         const auto it = m_pendingJobs.find(key.id);
-        if (it != m_pendingJobs.end() && it->second.scheduled == key)
+        if (it == m_pendingJobs.end() || it->second.scheduled != key)
+            continue;
+        if (isNotHolder(outcome))
+            route({key.id, it->second.submission});
+        else
             respond(key.id, outcome);
     }
 }
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -49,6 +49,7 @@
     std::uint32_t waitMs = 0;
     /// Losses that the entry has; a revision of the same process as directoryRevision.
     std::uint64_t lossRevision = 0;
+    std::uint64_t drainRevision = 0; ///< Of the drained domains that the entry knows.
 
     /// Fails if the entry has no name, or an address that no other process can call.
     [[nodiscard]] Status check() const;
@@ -57,7 +58,7 @@
     void serialize(Archive &archive)
     {
         archive(entry, isLeaving, reachableHolders, instances, directoryEpoch, directoryRevision,
-                documentVersion, lastToken, waitMs, lossRevision);
+                documentVersion, lastToken, waitMs, lossRevision, drainRevision);
     }
 };
 
@@ -73,12 +74,13 @@
     std::uint64_t lossRevision = 0; ///< Of the last of the losses.
     /// Losses that the entry lacks, oldest first, at most MaxLossesPerMessage.
     std::vector<InstanceLoss> losses;
+    DomainDrains drains; ///< Empty if the entry knows this revision or a later one.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(directoryEpoch, directoryRevision, instances, documentVersion, grants,
-                controlAddresses, isLeader, lossRevision, losses);
+                controlAddresses, isLeader, lossRevision, losses, drains);
     }
 };
 
@@ -116,6 +118,20 @@
     }
 };
 
+/// Starts or ends the drain of a failure domain. Forwarded to the leader by the member that an
+/// operator has called. The reply is an OperatorResponse.
+struct DrainDomainRequest
+{
+    std::string domain;
+    bool isDrained = false;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(domain, isDrained);
+    }
+};
+
 /// Asks a control instance for the newest configuration. An entry asks one member only: it can be
 /// large, and all members announce a new version at about the same time.
 struct FetchDocumentRequest
@@ -193,6 +209,10 @@
     }
 };
 
+/// The reason of a refusal by an entry that cannot start the job on any instance that it holds. The
+/// requester tries another holder.
+inline constexpr const char *NotHolderReason = "not-holder";
+
 /// Submits a job to the holder of a cell. The reply is a JobOutcome, sent when the job has ended.
 struct SubmitJobRequest
 {
--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -151,6 +151,27 @@
     }
 };
 
+/// The failure domains on whose instances nothing may be started, by order of operators. The
+/// revision grows with each change, so that what is known is only replaced by something newer.
+struct DomainDrains
+{
+    std::uint64_t revision = 0; ///< 0 if no domain was ever drained.
+    std::vector<std::string> domains; ///< Sorted.
+
+    auto operator<=>(const DomainDrains &) const = default;
+
+    [[nodiscard]] bool contains(const std::string &domain) const
+    {
+        return std::ranges::binary_search(domains, domain);
+    }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(revision, domains);
+    }
+};
+
 /// One step of a job: equal tasks that may run at the same time.
 struct JobStep
 {
--- a/src/Frame.h
+++ b/src/Frame.h
@@ -11,7 +11,7 @@
 namespace Camphor {
 
 /// Version of the wire protocol. A peer with another version is refused.
-inline constexpr std::uint16_t WireVersion = 6;
+inline constexpr std::uint16_t WireVersion = 7;
 
 /// Kinds of messages. Numbers are part of the wire format and are never reused.
 enum class MessageKind : std::uint16_t {
@@ -51,6 +51,7 @@
     ReadDocument = 63,
     FetchDocument = 64,
     ReportLosses = 65,
+    DrainDomain = 66,
     SubmitJob = 70,
     CancelJob = 71,
     Ping = 72,
--- a/src/LogEvents.cpp
+++ b/src/LogEvents.cpp
@@ -73,6 +73,20 @@
                  "Reads or writes in the data folder fail; they are retried."},
     LogEventSpec{LogEvent::DiskLost, "disk-lost", "instance fix",
                  "A voter detected that its disk was replaced by an empty one."},
+    LogEventSpec{LogEvent::DomainDrainAnswered, "domain-drain-answered", "domain drained result ms",
+                 "A control instance answered an operator's order to start or end the drain of a "
+                 "failure domain: acknowledged or unknown."},
+    LogEventSpec{LogEvent::DomainDrainExpired, "domain-drain-expired", "domain drained reason ms",
+                 "An order to start or end a drain was dropped, because its operator has left or "
+                 "it had waited too long; the operator sends it again."},
+    LogEventSpec{LogEvent::DomainDrainRefused, "domain-drain-refused", "domain",
+                 "An order to start or end a drain names a failure domain that the settings lack."},
+    LogEventSpec{LogEvent::DomainDrainsInForce, "domain-drains-in-force", "revision domains",
+                 "An entry starts nothing on the instances of these failure domains from now on."},
+    LogEventSpec{LogEvent::DomainDrainStored, "domain-drain-stored",
+                 "domain drained result revision",
+                 "The leader stored an order to start or end a drain, or could not determine "
+                 "whether it was stored."},
     LogEventSpec{LogEvent::DrainBegins, "drain-begins", "",
                  "The process starts to drain and reports that it is not ready."},
     LogEventSpec{LogEvent::DrainEnds, "drain-ends", "", "The drain has ended."},
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -1,5 +1,6 @@
 #include "RunScheduler.h"
 
+#include "FleetProtocol.h"
 #include "TaskName.h"
 
 #include <algorithm>
@@ -226,12 +227,20 @@
     return std::ranges::all_of(job.job.steps, [&](const JobStep &step) {
         return std::ranges::any_of(m_knownInstances, [&](const auto &it) {
             const auto &report = it.second;
-            return servesNow(report, job.rule.service) && step.demand.fitsInto(report.capacity)
+            return servesNow(report, job.rule.service) && !m_drains.contains(report.domain)
+                && step.demand.fitsInto(report.capacity)
                 && (step.requiredLabel.empty() || report.hasLabel(step.requiredLabel));
         });
     });
 }
 
+bool RunScheduler::isDrained() const
+{
+    return !m_instances.empty() && std::ranges::all_of(m_instances, [this](const auto &it) {
+        return m_drains.contains(it.second.report().domain);
+    });
+}
+
 JobKey RunScheduler::submit(const FleetJob &job, const std::string &requester, Milliseconds now)
 {
     addRequester(requester, now);
@@ -263,6 +272,8 @@
         m_knownInstances, [&](const auto &it) { return servesNow(it.second, rule->service); });
     if (!isKnownService)
         return refuse("no-instance", NoInstanceRetryMs);
+    if (isDrained())
+        return refuse(NotHolderReason, NoInstanceRetryMs);
     if (!canEverRun(pendingJob))
         return refuse("no-instance-can-hold-a-task", 0);
     // After an outage, the jobs that have waited for its end would delay all that follow.
@@ -425,6 +436,22 @@
     }
 }
 
+void RunScheduler::returnDrainedJobs(Milliseconds now)
+{
+    if (m_drains.domains.empty() || !isDrained())
+        return;
+    std::vector<std::string> returned;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.hasStarted && !job.isOffered)
+            returned.push_back(id);
+    }
+    for (const auto &id : returned) {
+        const auto waited = now - m_jobs.at(id).arrivedAt;
+        addEvent({ScheduleEvent::Kind::Refused, id, {}, {}, "domain-drained", waited.count()});
+        finish(id, {JobVerdict::NotRun, NotHolderReason, NoInstanceRetryMs}, now);
+    }
+}
+
 // --- Replies
 
 void RunScheduler::onDisconnect(const std::string &address)
@@ -676,6 +703,7 @@
         removeInstance(id, now);
     removeLostRequesters(now);
     restartStalledRuns(now);
+    returnDrainedJobs(now);
     startWaitingJobs(now);
     refuseLateJobs(now);
     evictOutcomes(now);
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -105,6 +105,10 @@
     void setInstances(const std::map<std::string, InstanceReport> &instances,
                       const std::map<std::string, std::uint64_t> &heldTokens, Milliseconds now);
 
+    /// Sets the failure domains on whose instances nothing is started from now on. Jobs that have
+    /// not started and could only start there are given back to be tried elsewhere.
+    void setDrains(const DomainDrains &drains) { m_drains = drains; }
+
     // --- Instances that were lost under tasks
     /// Adds what other processes have seen.
     void addLosses(const std::vector<InstanceLoss> &losses, Milliseconds now);
@@ -279,6 +283,10 @@
     [[nodiscard]] Job makeJob(const FleetJob &job, const QueueRule &rule,
                               const std::string &requester, Milliseconds now) const;
     [[nodiscard]] bool canEverRun(const Job &job) const;
+    /// Whether instances are held here, and all of them are in drained domains.
+    [[nodiscard]] bool isDrained() const;
+    /// Gives back the jobs that have not started, if nothing can start here.
+    void returnDrainedJobs(Milliseconds now);
     [[nodiscard]] bool canStartAll(const Job &job, Milliseconds now);
     [[nodiscard]] bool isEligible(const Job &job, std::size_t step) const;
     [[nodiscard]] Milliseconds expectedTime(const Job &job, const JobStep &step) const;
@@ -387,6 +395,7 @@
     /// All instances, including those of other holders.
     std::map<std::string, InstanceReport> m_knownInstances;
     std::map<std::string, LeasedInstance> m_instances; ///< Held instances, by id.
+    DomainDrains m_drains;
     /// At least the session of every instance that was removed, so that one that is held again
     /// begins a later one.
     std::uint64_t m_lastSession = 0;
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -48,9 +48,9 @@
     std::vector<Candidate> found;
     for (auto &[id, instance] : m_instances) {
         const auto &report = instance.report();
-        const bool isMatch = report.service == service && instance.isUsable(now)
-            && !instance.isLeasedBeyond(renewalLimit) && !instance.hasExclusiveRun()
-            && step.demand.fitsInto(instance.freeCapacity())
+        const bool isMatch = report.service == service && !m_drains.contains(report.domain)
+            && instance.isUsable(now) && !instance.isLeasedBeyond(renewalLimit)
+            && !instance.hasExclusiveRun() && step.demand.fitsInto(instance.freeCapacity())
             && (step.requiredLabel.empty() || report.hasLabel(step.requiredLabel));
         if (!isMatch)
             continue;
