Assign cells to entries in proportion to their processors

Cause: each entry got as many cells as any other. Where a quarter of the entries has three times the processor of the rest, the small ones fall behind at each peak.

Change: an entry tells its processor with its polls, and the next cell goes to the one with the fewest cells for each core. With equal processors, the assignment is as before.

--- a/src/CellAssignment.cpp
+++ b/src/CellAssignment.cpp
@@ -131,7 +131,9 @@
         Milliseconds ownDomainContactAt = m_leaderSince;
         const EntryContact *chosen = nullptr;
         const auto rank = [&](const EntryContact &it) {
-            return std::make_tuple(it.entry.domain != domain, load(it.entry));
+            // What each core of the entry would serve with one more cell.
+            const auto cells = static_cast<double>(load(it.entry) + 1);
+            return std::make_tuple(it.entry.domain != domain, cells / it.cpuShare);
         };
         for (const auto &[name, contact] : m_contacts) {
             if (contact.entry.domain == domain)
--- a/src/CellAssignment.h
+++ b/src/CellAssignment.h
@@ -22,6 +22,7 @@
     bool isLeaving = false;
     std::uint32_t instances = 0; ///< Number of known instances in its domain.
     Milliseconds instancesSince; ///< Since when this number has not changed.
+    double cpuShare = 1.0; ///< Processor of the entry, in cores.
 };
 
 struct CellAssignmentSettings
--- a/src/ControlWatch.cpp
+++ b/src/ControlWatch.cpp
@@ -72,6 +72,7 @@
     request.directoryEpoch = source.epoch;
     request.directoryRevision = source.revision;
     request.lossRevision = source.lossRevision;
+    request.cpuShare = m_settings.cpuShare;
     request.drainRevision = m_view.drains.revision;
     request.documentVersion = m_announcedVersion;
     request.waitMs = static_cast<std::uint32_t>(wait.count());
--- a/src/ControlWatch.h
+++ b/src/ControlWatch.h
@@ -49,6 +49,7 @@
     /// A member that has not sent the configuration within this time is not waited for any longer.
     /// Doubles with each failure in a row, because a large one takes long over a slow link.
     Milliseconds fetchTimeout{700};
+    double cpuShare = 1.0; ///< Processor of this entry, in cores.
     /// An address that does not reply and that no member has named for this long was replaced.
     Milliseconds addressRetention{60'000};
 };
--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -299,8 +299,8 @@
         return;
     const auto now = m_clock.now();
     const auto &entry = request->entry;
-    const auto change = m_entries.update(
-        {entry, now, request->reachableHolders, request->isLeaving, request->instances, now});
+    const auto change = m_entries.update({entry, now, request->reachableHolders, request->isLeaving,
+                                          request->instances, now, request->cpuShare});
     if (change == EntryContacts::Change::Superseded) {
         reply(Error{ErrorCode::Conflict, "a later incarnation of this entry is in contact"});
         return;
--- a/src/FleetProtocol.cpp
+++ b/src/FleetProtocol.cpp
@@ -21,7 +21,14 @@
 
 } // namespace
 
-Status WatchFleetRequest::check() const { return checkSender(entry.name, {entry.address}); }
+Status WatchFleetRequest::check() const
+{
+    constexpr double MaxCpuShare = 1'000;
+    // Also false for a value that is no number.
+    const bool isPossible = cpuShare > 0 && cpuShare <= MaxCpuShare;
+    return isPossible ? checkSender(entry.name, {entry.address})
+                      : Error{ErrorCode::InvalidRequest, "impossible processor of an entry"};
+}
 
 Status JoinGroupRequest::check() const
 {
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -50,15 +50,17 @@
     /// Losses that the entry has; a revision of the same process as directoryRevision.
     std::uint64_t lossRevision = 0;
     std::uint64_t drainRevision = 0; ///< Of the drained domains that the entry knows.
+    double cpuShare = 1.0; ///< Processor of the entry, in cores.
 
-    /// Fails if the entry has no name, or an address that no other process can call.
+    /// Fails if the entry has no name, an address that no other process can call, or an impossible
+    /// processor.
     [[nodiscard]] Status check() const;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(entry, isLeaving, reachableHolders, instances, directoryEpoch, directoryRevision,
-                documentVersion, lastToken, waitMs, lossRevision, drainRevision);
+                documentVersion, lastToken, waitMs, lossRevision, drainRevision, cpuShare);
     }
 };
 
--- a/test/correctness/CellAssignmentTest.cpp
+++ b/test/correctness/CellAssignmentTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace Camphor;
 
 namespace {
@@ -62,6 +64,26 @@
     CHECK(world.applyDueGrants() == 0);
 }
 
+TEST_CASE("cells go to entries in proportion to their processors", "[cells]")
+{
+    // The load: entries with a third of the processor of others serve as many cells, so that theirs
+    // fall behind at each peak.
+    World world;
+    for (const auto *name : {"large", "small1", "small2"})
+        world.recordContact(name, "north", 1, 160);
+    world.contacts.at("large").cpuShare = 0.3;
+    world.contacts.at("small1").cpuShare = 0.09;
+    world.contacts.at("small2").cpuShare = 0.09;
+    world.domains = {"north"};
+    CHECK(world.applyDueGrants() == static_cast<int>(cellCountFor(160)));
+    std::map<std::string, int> cells;
+    for (const auto &[name, grant] : world.grants)
+        ++cells[grant.holder];
+    CHECK(cells["large"] >= 3 * std::max(cells["small1"], cells["small2"]));
+    CHECK(cells["small1"] + cells["small2"] + cells["large"]
+          == static_cast<int>(world.grants.size()));
+}
+
 TEST_CASE("a first division waits until instances have reported", "[cells]")
 {
     World world;
