Learn the speed of each instance, and place tasks by it

Cause: runs were compared with the expected time of their queue, so an instance that is slow for good looked disturbed, and above 2.2 times the expected time got single trial runs only. Placement did not know whether a task can end in time on an instance.

Change: InstanceSpeeds estimates the run time factor of each instance from the runs of one step, compared with each other, because declared times are off by 40% for all of them alike. InstanceHealth compares an instance with its own past. Placement prefers instances on which the task ends in time, and while less than half of the processors is free, the slowest of these.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -137,6 +137,7 @@
     watch.self = m_settings.self;
     watch.rpc = rpc;
     watch.seeds = m_settings.seeds;
+    watch.cpuShare = m_settings.cpuShare;
     m_watch = std::make_shared<ControlWatch>(m_io, watch, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onViewChanged();
@@ -231,6 +232,14 @@
                        static_cast<double>(m_watch->view().drains.domains.size()));
     m_metrics.setGauge("camphorspindle_instances_usable", "Held instances that can start new runs.",
                        static_cast<double>(m_scheduler.usableInstances(now)));
+    const auto speeds = m_scheduler.speeds().range();
+    m_metrics.setGauge("camphorspindle_run_time_factor_lowest",
+                       "Run time on the fastest instance, compared with the fleet.", speeds.lowest);
+    m_metrics.setGauge("camphorspindle_run_time_factor_median",
+                       "Run time on the median instance, compared with the fleet.", speeds.median);
+    m_metrics.setGauge("camphorspindle_run_time_factor_highest",
+                       "Run time on the slowest instance, compared with the fleet.",
+                       speeds.highest);
     m_metrics.setGauge("camphorspindle_caller_connections", "Open connections of callers.",
                        static_cast<double>(callerConnections));
     m_metrics.setGauge("camphorspindle_caller_connections_evicted",
--- a/src/FleetEntry.h
+++ b/src/FleetEntry.h
@@ -48,6 +48,8 @@
     /// anew. Together with SchedulerSettings::renewalTimeout, this must be shorter than
     /// the time after which callers resend.
     Milliseconds maxRequestAge{300};
+    /// Processor of this entry, in cores. Cells are assigned in proportion to it.
+    double cpuShare = 1.0;
     /// For the jobs in progress, of callers and of other entries.
     std::shared_ptr<MemoryBudget> jobMemory = MemoryBudget::forJobs(DefaultJobMemoryBytes);
 
--- a/src/RunOffer.h
+++ b/src/RunOffer.h
@@ -50,13 +50,14 @@
     bool allOrNone = false; ///< Start all of the runs, or none.
     /// When the offer was sent, time since the last contact with the requester of the job.
     double requesterAgeMs = 0;
+    double dueInMs = 0; ///< When the offer was made, time until the response is due.
 
-    /// Fails if the age is not a finite time in the past.
+    /// Fails if the age is not a finite time in the past, or the response is due in the past.
     [[nodiscard]] Status check() const
     {
-        return isValidAge(requesterAgeMs)
+        return isValidAge(requesterAgeMs) && isValidAge(dueInMs)
             ? okStatus()
-            : Error{ErrorCode::InvalidMessage, "invalid requester age"};
+            : Error{ErrorCode::InvalidMessage, "invalid requester age or due time"};
     }
 
     auto operator<=>(const RunOffer &) const = default;
@@ -64,7 +65,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(job, queue, payload, stepIndex, step, runs, allOrNone, requesterAgeMs);
+        archive(job, queue, payload, stepIndex, step, runs, allOrNone, requesterAgeMs, dueInMs);
     }
 };
 
--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -4,6 +4,8 @@
 #include "TaskName.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -69,6 +71,7 @@
 {
     m_knownInstances = instances;
     m_health.retain([this](const std::string &id) { return m_knownInstances.contains(id); });
+    m_speeds.retain([this](const std::string &id) { return m_knownInstances.contains(id); });
     for (const auto &[id, report] : instances) {
         const auto token = heldTokens.find(id);
         if (token == heldTokens.end())
@@ -132,6 +135,7 @@
     collectResults(instance, now);
     eraseInstance(id);
     m_health.remove(id);
+    m_speeds.remove(id);
 }
 
 void RunScheduler::onLocalLoss(const InstanceLoss &loss, Milliseconds now)
@@ -510,8 +514,11 @@
         onRunResult(instance, result, now);
     for (const auto &loss : losses)
         endJobsAtFault(loss, now);
-    for (const auto &notice : instance.takeNotices())
+    for (const auto &notice : instance.takeNotices()) {
+        if (notice.kind == InstanceNotice::Kind::Restarted)
+            m_speeds.remove(instance.report().key.id);
         addEvent(eventOf(notice, instance.report().key.id));
+    }
 }
 
 std::optional<RunScheduler::TaskRef> RunScheduler::findTask(const RunKey &key)
@@ -559,9 +566,13 @@
     task.holder.clear();
     if (outcome.end == RunEnd::Done) {
         task.state = Task::State::Done;
-        if (isLocal)
-            addRunTime(job.rule.name, job.job.steps[ref.step], outcome, now);
+        const auto expected = expectedTime(job, job.job.steps[ref.step]);
+        task.sample = isLocal
+            ? addRunTime(job.rule.name, job.job.steps[ref.step], outcome, now)
+            : SpeedSample{outcome.instance, outcome.elapsedMs / std::max(1.0, expected.count())};
         ++job.done[ref.step];
+        if (job.done[ref.step] == job.job.steps[ref.step].taskCount)
+            addStepSpeeds(job.tasks[ref.step], now);
         const bool isDone = std::ranges::equal(job.done, job.job.steps, {}, {},
                                                [](const JobStep &it) { return it.taskCount; });
         if (isDone)
@@ -579,13 +590,38 @@
     }
 }
 
-void RunScheduler::addRunTime(const std::string &queue, const JobStep &step,
-                              const RunOutcome &outcome, Milliseconds now)
+SpeedSample RunScheduler::addRunTime(const std::string &queue, const JobStep &step,
+                                     const RunOutcome &outcome, Milliseconds now)
 {
     const Milliseconds declared{double(step.estimatedMs)};
     const auto expected = std::max(Milliseconds{1}, m_runTimes.estimate(queue, declared));
-    m_health.onDone(outcome.instance, outcome.elapsedMs / expected.count(), now);
-    m_runTimes.addSample(queue, declared, Milliseconds{outcome.elapsedMs});
+    const auto ratio = outcome.elapsedMs / expected.count();
+    // An instance that is always slow is not disturbed, so it is compared with its own past.
+    const auto factor = m_speeds.factor(outcome.instance);
+    m_health.onDone(outcome.instance, ratio / factor, now);
+    m_runTimes.addSample(queue, declared, Milliseconds{outcome.elapsedMs / factor});
+    return {outcome.instance, ratio};
+}
+
+void RunScheduler::addStepSpeeds(const std::vector<Task> &tasks, Milliseconds now)
+{
+    if (!m_settings.learnsInstanceSpeeds)
+        return;
+    std::vector<SpeedSample> samples;
+    std::ranges::transform(tasks, std::back_inserter(samples), &Task::sample);
+    // What disturbs an instance for a while is not its speed.
+    std::erase_if(samples,
+                  [this](const SpeedSample &it) { return !m_health.isTrusted(it.instance); });
+    m_speeds.addStep(samples, now);
+}
+
+std::string RunScheduler::startReason(const char *reason, const std::string &instance) const
+{
+    if (!m_settings.learnsInstanceSpeeds)
+        return reason;
+    constexpr double Percent = 100;
+    const auto percent = std::lround(Percent * runTimeFactor(instance));
+    return reason + std::string(" at ") + std::to_string(percent) + "% of the usual time";
 }
 
 void RunScheduler::onTaskFailed(Job &job, Task &task, const std::string &instance,
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -5,6 +5,7 @@
 #include "FleetTypes.h"
 #include "InstanceHealth.h"
 #include "InstanceOrders.h"
+#include "InstanceSpeeds.h"
 #include "LeasedInstance.h"
 #include "MemoryBudget.h"
 #include "RunOffer.h"
@@ -42,6 +43,11 @@
     Milliseconds stallTimeout{400};
     /// If advance() is called later than its deadline by more than this, the process was paused.
     Milliseconds pauseThreshold{500};
+    /// Whether placement and the health of instances use the measured speed of each instance.
+    bool learnsInstanceSpeeds = false;
+    /// While more than this share of the processors in use is taken, tasks that can end in time on
+    /// a slow instance leave the fast ones to those that cannot.
+    double scarceRoomShare = 0.5;
 
     auto operator<=>(const SchedulerSettings &) const = default;
 };
@@ -203,6 +209,7 @@
     [[nodiscard]] std::size_t jobCount() const { return m_jobs.size(); }
     [[nodiscard]] std::size_t acceptedRunCount() const { return m_acceptedRuns.size(); }
     [[nodiscard]] std::size_t usableInstances(Milliseconds now) const;
+    [[nodiscard]] const InstanceSpeeds &speeds() const { return m_speeds; }
 
 private:
     struct Task
@@ -222,6 +229,7 @@
         std::string holder; ///< Address of the holder of another cell that runs it, or empty.
         /// Instances where a run of this task has failed or lost its lease.
         std::vector<std::string> avoid;
+        SpeedSample sample; ///< Of the run that has succeeded.
     };
 
     struct Job
@@ -285,6 +293,27 @@
         std::size_t maxNewTasks = 0;
     };
 
+    /// What a placement has to reach.
+    struct PlacementGoal
+    {
+        Milliseconds expected; ///< Run time on an instance of the fleet's speed.
+        Milliseconds timeLeft = NoTimeLimit; ///< Until the response is due.
+        bool sparesFast = false; ///< Whether fast instances are left to tasks that need them.
+
+        static constexpr Milliseconds NoTimeLimit{1e18};
+
+        [[nodiscard]] bool isLateAt(const Candidate &candidate) const;
+    };
+
+    /// @param timeLeft until the response is due.
+    [[nodiscard]] PlacementGoal makeGoal(Milliseconds expected, Milliseconds timeLeft,
+                                         const std::string &service) const;
+    [[nodiscard]] PlacementGoal makeGoal(const Job &job, std::size_t step, Milliseconds now) const;
+    /// Whether more than scarceRoomShare of the processors of a service is taken here.
+    [[nodiscard]] bool isRoomScarce(const std::string &service) const;
+    /// Run time factor of an instance: its usual one, and what disturbs it now.
+    [[nodiscard]] double runTimeFactor(const std::string &instance) const;
+
     [[nodiscard]] Job makeJob(const FleetJob &job, const QueueRule &rule,
                               const std::string &requester, Milliseconds now) const;
     [[nodiscard]] bool canEverRun(const Job &job) const;
@@ -307,7 +336,7 @@
     /// it can, so that a further loss shows whether it is at fault.
     [[nodiscard]] static Candidate *pick(std::vector<Candidate> &found, const JobStep &step,
                                          const std::vector<std::string> &avoid,
-                                         TaskSuspicion suspicion);
+                                         TaskSuspicion suspicion, const PlacementGoal &goal);
     /// Takes the room of a task that is to start at a candidate.
     static void take(Candidate &candidate, const JobStep &step, TaskSuspicion suspicion);
     [[nodiscard]] TaskSuspicion suspicionOf(const Job &job, std::size_t step,
@@ -373,8 +402,13 @@
                       Milliseconds now);
     /// The task whose current run has this key; nothing if there is none.
     [[nodiscard]] std::optional<TaskRef> findTask(const RunKey &key);
-    void addRunTime(const std::string &queue, const JobStep &step, const RunOutcome &outcome,
-                    Milliseconds now);
+    /// Learns from a run on an instance that is held here. @return what it shows of the instance.
+    SpeedSample addRunTime(const std::string &queue, const JobStep &step, const RunOutcome &outcome,
+                           Milliseconds now);
+    /// Learns the speeds of instances from a step whose tasks have all succeeded.
+    void addStepSpeeds(const std::vector<Task> &tasks, Milliseconds now);
+    /// The reason of a start for the log, with the run time factor that was assumed.
+    [[nodiscard]] std::string startReason(const char *reason, const std::string &instance) const;
     void onAcceptedRunEnd(const RunOutcome &outcome, Milliseconds now);
     void stopAcceptedRuns(const std::set<std::string> &requesters, Milliseconds now);
     void abandonAccepted(const RunKey &key, Milliseconds renewalLimit, Milliseconds now);
@@ -406,6 +440,7 @@
     /// begins a later one.
     std::uint64_t m_lastSession = 0;
     InstanceHealth m_health;
+    InstanceSpeeds m_speeds;
     RunTimeModel m_runTimes;
     CrashHistory m_crashes;
     std::vector<InstanceLoss> m_newLosses;
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -44,6 +44,7 @@
                        job.job.steps[step],
                        {},
                        !job.hasStarted};
+        offer.dueInMs = std::max(0.0, (job.responseDueAt - now).count());
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             auto &task = job.tasks[step][index];
             if (task.state != Task::State::Waiting)
@@ -171,13 +172,16 @@
 {
     auto found = candidates(service, offer.step, taskNamePrefix(offer.job.id, offer.stepIndex),
                             renewalLimit, now);
+    const auto goal =
+        makeGoal(m_runTimes.estimate(offer.queue, Milliseconds{double(offer.step.estimatedMs)}),
+                 Milliseconds{offer.dueInMs}, service);
     std::vector<Placement> placed;
     for (const auto &run : offer.runs) {
         // A run of an earlier submission of the job may not have ended yet.
         const bool isPresent = std::ranges::any_of(
             m_instances, [&](const auto &it) { return it.second.hasRunOf(run.key.task); });
         const auto suspicion = std::max(run.suspicion, m_crashes.suspicion(run.key.task));
-        auto *candidate = isPresent ? nullptr : pick(found, offer.step, run.avoid, suspicion);
+        auto *candidate = isPresent ? nullptr : pick(found, offer.step, run.avoid, suspicion, goal);
         if (candidate == nullptr)
             continue;
         take(*candidate, offer.step, suspicion);
@@ -209,10 +213,11 @@
     for (const auto &[key, instance, isExclusive] : placed) {
         const auto &id = instance->report().key.id;
         m_starts.push_back(instance->start(key, offer.payload, offer.step.demand,
-                                           estimate * m_health.slowdown(id), now, isExclusive,
+                                           estimate * runTimeFactor(id), now, isExclusive,
                                            std::min(limit, renewalLimit(*instance, now))));
         m_acceptedRuns[key] = {requester, offer.job.submission, offer.queue, offer.step, wantedAt};
-        addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id, "accepted-offer", 0});
+        addEvent({ScheduleEvent::Kind::Started, offer.job.id, key, id,
+                  startReason("accepted-offer", id), 0});
         started.push_back(key);
     }
     return {std::move(started)};
@@ -254,9 +259,11 @@
 {
     const auto run = std::move(m_acceptedRuns.extract(outcome.key).mapped());
     addRunEnd({}, outcome);
-    if (outcome.end == RunEnd::Done)
-        addRunTime(run.queue, run.step, outcome, now);
-    else if (outcome.end == RunEnd::Failed)
+    if (outcome.end == RunEnd::Done) {
+        const auto sample = addRunTime(run.queue, run.step, outcome, now);
+        if (m_settings.learnsInstanceSpeeds)
+            m_speeds.addStep({sample}, now);
+    } else if (outcome.end == RunEnd::Failed)
         m_health.onFailed(outcome.instance, now);
     m_acceptedEnds.push_back({{run.requester, run.submission, outcome.key}, outcome});
 }
--- a/src/RunSchedulerPlacement.cpp
+++ b/src/RunSchedulerPlacement.cpp
@@ -23,6 +23,8 @@
 /// Jobs of a queue that may accumulate resources as they become free. With many, all would be late;
 /// a second one uses room that is too small for the tasks of the first.
 constexpr int MaxCollectingJobs = 2;
+/// A task is expected to be late if it would be late with a run time this many times longer.
+constexpr double RunTimeMargin = 1.2;
 
 } // namespace
 
@@ -60,9 +62,9 @@
             if (!m_health.mayRunTrial(id, now) || instance.runCount() > 0)
                 continue;
             candidate.maxNewTasks = 1;
-            candidate.cost = m_health.slowdown(id) + 1.0;
+            candidate.cost = runTimeFactor(id) + 1.0;
         } else {
-            candidate.cost = m_health.slowdown(id);
+            candidate.cost = runTimeFactor(id);
         }
         if (!step.preferredRack.empty() && !report.hasLabel(step.preferredRack))
             candidate.cost *= RemoteDataFactor;
@@ -79,14 +81,54 @@
     return found;
 }
 
+bool RunScheduler::PlacementGoal::isLateAt(const Candidate &candidate) const
+{
+    return expected * candidate.cost * RunTimeMargin > timeLeft;
+}
+
+bool RunScheduler::isRoomScarce(const std::string &service) const
+{
+    std::int64_t total = 0;
+    std::int64_t free = 0;
+    for (const auto &[id, instance] : m_instances) {
+        if (instance.report().service != service)
+            continue;
+        total += instance.report().capacity.cpuMillicores;
+        free += instance.freeCapacity().cpuMillicores;
+    }
+    return static_cast<double>(free)
+        < static_cast<double>(total) * (1 - m_settings.scarceRoomShare);
+}
+
+double RunScheduler::runTimeFactor(const std::string &instance) const
+{
+    return m_health.slowdown(instance) * m_speeds.factor(instance);
+}
+
+RunScheduler::PlacementGoal RunScheduler::makeGoal(Milliseconds expected, Milliseconds timeLeft,
+                                                   const std::string &service) const
+{
+    if (!m_settings.learnsInstanceSpeeds)
+        return {};
+    return {expected, timeLeft, isRoomScarce(service)};
+}
+
+RunScheduler::PlacementGoal RunScheduler::makeGoal(const Job &job, std::size_t step,
+                                                   Milliseconds now) const
+{
+    return makeGoal(expectedTime(job, job.job.steps[step]), job.responseDueAt - now,
+                    job.rule.service);
+}
+
 RunScheduler::Candidate *RunScheduler::pick(std::vector<Candidate> &found, const JobStep &step,
                                             const std::vector<std::string> &avoid,
-                                            TaskSuspicion suspicion)
+                                            TaskSuspicion suspicion, const PlacementGoal &goal)
 {
     if (suspicion == TaskSuspicion::AtFault)
         return nullptr;
     Candidate *best = nullptr;
-    std::pair<bool, double> bestScore; // Whether the task would not be alone, and the cost.
+    // Whether the task would not be alone, whether it would be late, and the cost.
+    std::tuple<bool, bool, double> bestScore;
     for (auto &candidate : found) {
         const auto &id = candidate.instance->report().key.id;
         if (candidate.maxNewTasks == 0 || !step.demand.fitsInto(candidate.free)
@@ -99,11 +141,13 @@
         const auto remainingCpu = candidate.free.cpuMillicores - step.demand.cpuMillicores;
         const auto totalCpu =
             std::max<std::int64_t>(1, candidate.instance->report().capacity.cpuMillicores);
-        const auto cost = roundedCost
+        const bool isLate = goal.isLateAt(candidate);
+        const auto speedCost = goal.sparesFast && !isLate ? -roundedCost : roundedCost;
+        const auto cost = speedCost
             + RemainingCpuWeight * static_cast<double>(remainingCpu)
                 / static_cast<double>(totalCpu);
         const bool isBeside = suspicion != TaskSuspicion::None && !candidate.isIdle;
-        const std::pair score{isBeside, cost};
+        const std::tuple score{isBeside, isLate, cost};
         if (best == nullptr || score < bestScore) {
             best = &candidate;
             bestScore = score;
@@ -130,13 +174,14 @@
 std::size_t RunScheduler::countPlaceable(const Job &job, std::size_t step, Milliseconds now)
 {
     auto found = candidates(job, step, now);
+    const auto goal = makeGoal(job, step, now);
     std::size_t count = 0;
     for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
         const auto &task = job.tasks[step][index];
         if (task.state != Task::State::Waiting)
             continue;
         const auto suspicion = suspicionOf(job, step, index);
-        auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion);
+        auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion, goal);
         if (candidate == nullptr)
             continue;
         take(*candidate, job.job.steps[step], suspicion);
@@ -177,15 +222,15 @@
     task.state = Task::State::Running;
     task.instance = id;
     job.hasStarted = true;
-    const auto expected = expectedTime(job, jobStep) * m_health.slowdown(id);
+    const auto expected = expectedTime(job, jobStep) * runTimeFactor(id);
     const RunKey key{taskName(job.job.id, step, index), task.runs};
     chargeQueue(job.rule.name, jobStep, expected);
     const bool isExclusive = suspicion != TaskSuspicion::None;
     const auto limit = std::min(renewalLimit(instance, now), renewalLimit(key, now));
     m_starts.push_back(
         instance.start(key, job.job.payload, jobStep.demand, expected, now, isExclusive, limit));
-    addEvent(
-        {ScheduleEvent::Kind::Started, job.job.id, key, id, "room", (now - job.arrivedAt).count()});
+    addEvent({ScheduleEvent::Kind::Started, job.job.id, key, id, startReason("room", id),
+              (now - job.arrivedAt).count()});
 }
 
 bool RunScheduler::startTasks(Job &job, Milliseconds now)
@@ -204,12 +249,13 @@
         if (!isEligible(job, step) || std::ranges::none_of(job.tasks[step], isWaitingTask))
             continue;
         auto found = candidates(job, step, now);
+        const auto goal = makeGoal(job, step, now);
         for (std::size_t index = 0; index < job.tasks[step].size(); ++index) {
             auto &task = job.tasks[step][index];
             if (!isWaitingTask(task))
                 continue;
             const auto suspicion = suspicionOf(job, step, index);
-            auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion);
+            auto *candidate = pick(found, job.job.steps[step], task.avoid, suspicion, goal);
             if (candidate == nullptr) {
                 isComplete = false;
                 continue;
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -286,6 +286,10 @@
     /// Duration of each run of a task, and the resources that each run needs.
     std::function<double(const std::string &task)> runTime = [](const std::string &) { return 60; };
     ResourceVector demand{14'000, 64, 0};
+    /// Factor by which an instance takes longer for every run.
+    std::function<double(const std::string &instance)> slowness = [](const std::string &) {
+        return 1.0;
+    };
     /// Whether the network between a holder and an instance is cut: orders and replies are lost.
     std::function<bool(const RunScheduler &holder, const std::string &instance)> isCut =
         [](const RunScheduler &, const std::string &) { return false; };
@@ -319,7 +323,7 @@
     OrderReply startAt(const StartOrder &order)
     {
         const auto &id = order.target.instance.id;
-        auto reply = m_instances.at(id).start(order, demand, runTime(order.key.task),
+        auto reply = m_instances.at(id).start(order, demand, runTime(order.key.task) * slowness(id),
                                               chance(m_faults.failingRuns), now);
         if (reply.result != OrderResult::Accepted || !crashes(order.key.task))
             return reply;
