Keep a drained holder from giving back a job with earlier runs

Cause: found while the diff was read. A job of which an earlier submission still had runs here was given back, and another holder, which does not know of them, could start it.

Change: such a job stays until these runs have ended. A refusal while domains are drained tells the caller when to come back.

--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -280,10 +280,11 @@
         m_knownInstances, [&](const auto &it) { return servesNow(it.second, rule->service); });
     if (!isKnownService)
         return refuse("no-instance", NoInstanceRetryMs);
-    if (isDrained())
+    if (isDrained() && !pendingJob.hasEarlierRuns)
         return refuse(NotHolderReason, NoInstanceRetryMs);
     if (!canEverRun(pendingJob))
-        return refuse("no-instance-can-hold-a-task", 0);
+        return refuse("no-instance-can-hold-a-task",
+                      m_drains.domains.empty() ? 0 : NoInstanceRetryMs);
     // After an outage, the jobs that have waited for its end would delay all that follow.
     if (Milliseconds{job.waitedMs} > MaxRoutineWait && now > pendingJob.latestStart)
         return refuse("waited-too-long", MinRetryMs);
@@ -450,7 +451,8 @@
         return;
     std::vector<std::string> returned;
     for (const auto &[id, job] : m_jobs) {
-        if (!job.hasStarted && !job.isOffered)
+        // Another holder does not know of the runs of an earlier submission.
+        if (!job.hasStarted && !job.isOffered && !job.hasEarlierRuns)
             returned.push_back(id);
     }
     for (const auto &id : returned) {
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -263,8 +263,9 @@
         const auto sample = addRunTime(run.queue, run.step, outcome, now);
         if (m_settings.learnsInstanceSpeeds)
             m_speeds.addStep({sample}, now);
-    } else if (outcome.end == RunEnd::Failed)
+    } else if (outcome.end == RunEnd::Failed) {
         m_health.onFailed(outcome.instance, now);
+    }
     m_acceptedEnds.push_back({{run.requester, run.submission, outcome.key}, outcome});
 }
 
--- a/test/correctness/DomainDrainTest.cpp
+++ b/test/correctness/DomainDrainTest.cpp
@@ -113,6 +113,18 @@
         REQUIRE(world.outcomes.contains("new"));
         CHECK(world.outcomes.at("new").reason == NotHolderReason);
     }
+    SECTION("a job is not given back while runs of its earlier submission last")
+    {
+        // Guards against a second run at another holder, which does not know of the first one.
+        holder.cancel("running", {}, Milliseconds{world.now}, Milliseconds{world.now});
+        holder.submit(makeJob("running", 2), {}, Milliseconds{world.now});
+        world.run(world.now + 1);
+        REQUIRE(running() > 0);
+        CHECK(world.outcomes.at("running").reason != NotHolderReason);
+        // All domains are drained, so it is refused, and the caller may come back.
+        CHECK(world.outcomes.at("running").verdict == JobVerdict::NotRun);
+        CHECK(world.outcomes.at("running").retryAfterMs > 0);
+    }
     SECTION("offers of other holders are not accepted")
     {
         const auto job = makeJob("offered", 1);
