--- a/test/HostileCallers.h
+++ b/test/HostileCallers.h
@@ -102,6 +102,7 @@
 inline void runCrowd(std::size_t callers, const std::function<void()> &action)
 {
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (std::size_t n = 0; n < callers; ++n)
         threads.emplace_back(action);
     for (auto &thread : threads)
--- a/test/correctness/HostileCallerTest.cpp
+++ b/test/correctness/HostileCallerTest.cpp
@@ -98,7 +98,8 @@
     for (std::size_t n = 0; n < Callers; ++n) {
         callers.push_back(std::make_unique<HostileCaller>(entry.address()));
         if (callers.back()->send(postHead("Content-Length: " + std::to_string(BodyBytes) + "\r\n")))
-            callers.back()->sendRepeatedly(std::string(64 * 1024, 'b'), BodyBytes - Megabyte);
+            callers.back()->sendRepeatedly(std::string(std::size_t{64} * 1024, 'b'),
+                                           BodyBytes - Megabyte);
     }
     entry.check();
 }
