Send a drain as its command, and answer operators in one place

DrainDomainRequest had the same fields as DrainDomainCommand, and DrainOrder wrapped a CallerConnection in a callback, where other calls take the connection itself. A stored drain notified the waiting entries a second time: the change of the state had already done so. The callbacks that answer an operator, and a member that has forwarded an order, stood two and three times.

No change of behaviour or of the bytes on the wire.

--- a/src/ControlState.h
+++ b/src/ControlState.h
@@ -207,7 +207,8 @@
     auto operator<=>(const GrantCellReply &) const = default;
 };
 
-/// Starts or ends the drain of a failure domain. Idempotent.
+/// Starts or ends the drain of a failure domain. Idempotent. Also the request with which a member
+/// forwards an operator's order to the leader; its reply is an OperatorResponse.
 struct DrainDomainCommand
 {
     std::string domain;
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -10,6 +10,7 @@
 #include "FleetMetrics.h"
 #include "FleetProtocol.h"
 #include "GroupMembership.h"
+#include "Http.h"
 #include "InstanceDirectory.h"
 #include "InstanceFile.h"
 #include "RpcServer.h"
@@ -46,15 +47,6 @@
 
 using OperatorCallback = std::function<void(OperatorResponse)>;
 
-/// An operator's order to start or end the drain of a failure domain.
-struct DrainOrder
-{
-    DrainDomainRequest request;
-    /// Whether the operator still waits for the answer. One that has left sends the order again, or
-    /// has sent a later one meanwhile.
-    std::function<bool()> isWanted = [] { return true; };
-};
-
 /// All calls must come from the thread of the io_context.
 class FleetControl : public std::enable_shared_from_this<FleetControl>
 {
@@ -74,7 +66,10 @@
     /// Whether the settings name this failure domain.
     [[nodiscard]] bool hasDomain(const std::string &domain) const;
     /// Starts or ends a drain; calls back when the order is on a majority of disks.
-    void drainDomain(DrainOrder order, OperatorCallback callback);
+    /// @param caller the operator. One that has disconnected sends the order again, or has sent a
+    /// later one meanwhile, so its order is dropped. May be null.
+    void drainDomain(const DrainDomainCommand &order, std::shared_ptr<CallerConnection> caller,
+                     OperatorCallback callback);
     /// Replaces the addresses at which to find the group. The founders do not change.
     void replaceSeeds(std::vector<Address> seeds);
     void reportInstance(const InstanceReport &report);
@@ -138,7 +133,7 @@
     void forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback);
     void storeAsLeader(StoredDocument document, OperatorCallback callback);
     void readAsLeader(OperatorCallback callback);
-    void drainAsLeader(const DrainDomainRequest &request, OperatorCallback callback);
+    void drainAsLeader(const DrainDomainCommand &order, OperatorCallback callback);
 
     boost::asio::io_context &m_io;
     FleetControlSettings m_settings;
--- a/src/FleetControlOperator.cpp
+++ b/src/FleetControlOperator.cpp
@@ -24,6 +24,12 @@
 /// leader knows the age of the order.
 constexpr Milliseconds MaxLeaderClockError{200};
 
+/// Returns a callback that sends a response to the member that has forwarded the request.
+OperatorCallback responseTo(const RpcReply &reply)
+{
+    return [reply](const OperatorResponse &response) { reply(encodeMessage(response)); };
+}
+
 } // namespace
 
 void FleetControl::forwardToLeader(MessageKind kind, std::string payload, OperatorCallback callback)
@@ -143,8 +149,7 @@
         reply(encodeMessage(OperatorResponse{}));
         return;
     }
-    storeAsLeader(std::move(*request),
-                  [reply](const OperatorResponse &response) { reply(encodeMessage(response)); });
+    storeAsLeader(std::move(*request), responseTo(reply));
 }
 
 bool FleetControl::hasDomain(const std::string &domain) const
@@ -152,62 +157,60 @@
     return std::ranges::find(m_settings.domains, domain) != m_settings.domains.end();
 }
 
-void FleetControl::drainDomain(DrainOrder order, OperatorCallback callback)
+void FleetControl::drainDomain(const DrainDomainCommand &order,
+                               std::shared_ptr<CallerConnection> caller, OperatorCallback callback)
 {
-    const auto logged = [self = shared_from_this(), request = order.request, since = m_clock.now(),
+    const auto logged = [self = shared_from_this(), order, since = m_clock.now(),
                          callback = std::move(callback)](const OperatorResponse &response) {
         Log::info(LogEvent::DomainDrainAnswered)
-            .kv("domain", request.domain)
-            .kv("drained", request.isDrained)
+            .kv("domain", order.domain)
+            .kv("drained", order.isDrained)
             .kv("result", response.isDone ? "acknowledged" : "unknown")
             .kv("ms", (self->m_clock.now() - since).count());
         callback(response);
     };
-    Asio::dispatch(m_node->strand(), [self = shared_from_this(), order = std::move(order), logged] {
-        // The order may have waited in this process while it was paused.
-        if (!order.isWanted()) {
-            Log::info(LogEvent::DomainDrainExpired)
-                .kv("domain", order.request.domain)
-                .kv("drained", order.request.isDrained)
-                .kv("reason", "operator-disconnected");
-            logged({});
-        } else if (self->m_node->isLeader()) {
-            self->drainAsLeader(order.request, logged);
-        } else {
-            self->forwardToLeader(MessageKind::DrainDomain, encodeMessage(order.request), logged);
-        }
-    });
+    Asio::dispatch(
+        m_node->strand(), [self = shared_from_this(), order, caller = std::move(caller), logged] {
+            // The order may have waited in this process while it was paused.
+            if (caller && caller->isDisconnected()) {
+                Log::info(LogEvent::DomainDrainExpired)
+                    .kv("domain", order.domain)
+                    .kv("drained", order.isDrained)
+                    .kv("reason", "operator-disconnected");
+                logged({});
+            } else if (self->m_node->isLeader()) {
+                self->drainAsLeader(order, logged);
+            } else {
+                self->forwardToLeader(MessageKind::DrainDomain, encodeMessage(order), logged);
+            }
+        });
 }
 
-void FleetControl::drainAsLeader(const DrainDomainRequest &request, OperatorCallback callback)
+void FleetControl::drainAsLeader(const DrainDomainCommand &order, OperatorCallback callback)
 {
-    m_node->propose(DrainDomainCommand{request.domain, request.isDrained},
-                    [self = shared_from_this(), request,
-                     callback = std::move(callback)](const std::optional<ControlReply> &reply) {
-                        const auto *stored =
-                            reply ? std::get_if<DrainDomainReply>(&*reply) : nullptr;
-                        Log::info(LogEvent::DomainDrainStored)
-                            .kv("domain", request.domain)
-                            .kv("drained", request.isDrained)
-                            .kv("result", stored != nullptr ? "accepted" : "unknown")
-                            .kv("revision", stored != nullptr ? stored->revision : 0);
-                        callback({stored != nullptr, 0, {}});
-                        // Entries wait for nothing else than this change, so they learn it now.
-                        self->replyToWatchers(false);
-                    });
+    m_node->propose(
+        order, [order, callback = std::move(callback)](const std::optional<ControlReply> &reply) {
+            const auto *stored = reply ? std::get_if<DrainDomainReply>(&*reply) : nullptr;
+            Log::info(LogEvent::DomainDrainStored)
+                .kv("domain", order.domain)
+                .kv("drained", order.isDrained)
+                .kv("result", stored != nullptr ? "accepted" : "unknown")
+                .kv("revision", stored != nullptr ? stored->revision : 0);
+            callback({stored != nullptr, 0, {}});
+        });
 }
 
 void FleetControl::onDrain(const RequestOrigin &peer, const std::string &payload,
                            const RpcReply &reply)
 {
-    const auto request = decodeOrReject<DrainDomainRequest>(payload, reply);
-    if (!request)
+    const auto order = decodeOrReject<DrainDomainCommand>(payload, reply);
+    if (!order)
         return;
     const auto age = m_clock.now() - peer.sentAfter;
     if (age > MaxDrainOrderAge) {
         Log::info(LogEvent::DomainDrainExpired)
-            .kv("domain", request->domain)
-            .kv("drained", request->isDrained)
+            .kv("domain", order->domain)
+            .kv("drained", order->isDrained)
             .kv("reason", "late")
             .kv("ms", age.count());
         reply(Error{ErrorCode::Expired, "the order has become too old"});
@@ -217,8 +220,7 @@
         reply(encodeMessage(OperatorResponse{}));
         return;
     }
-    drainAsLeader(*request,
-                  [reply](const OperatorResponse &response) { reply(encodeMessage(response)); });
+    drainAsLeader(*order, responseTo(reply));
 }
 
 void FleetControl::onRead(const RpcReply &reply)
@@ -227,7 +229,7 @@
         reply(encodeMessage(OperatorResponse{}));
         return;
     }
-    readAsLeader([reply](const OperatorResponse &response) { reply(encodeMessage(response)); });
+    readAsLeader(responseTo(reply));
 }
 
 } // namespace Camphor
--- a/src/FleetProtocol.h
+++ b/src/FleetProtocol.h
@@ -120,20 +120,6 @@
     }
 };
 
-/// Starts or ends the drain of a failure domain. Forwarded to the leader by the member that an
-/// operator has called. The reply is an OperatorResponse.
-struct DrainDomainRequest
-{
-    std::string domain;
-    bool isDrained = false;
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(domain, isDrained);
-    }
-};
-
 /// Asks a control instance for the newest configuration. An entry asks one member only: it can be
 /// large, and all members announce a new version at about the same time.
 struct FetchDocumentRequest
