Compute the speed sample of a run once

The expected time of a run was estimated in two places, twice for a run on a held instance. sampleOf() computes it once for held, accepted and remote runs.

--- a/src/RunScheduler.cpp
+++ b/src/RunScheduler.cpp
@@ -70,8 +70,9 @@
                                 Milliseconds now)
 {
     m_knownInstances = instances;
-    m_health.retain([this](const std::string &id) { return m_knownInstances.contains(id); });
-    m_speeds.retain([this](const std::string &id) { return m_knownInstances.contains(id); });
+    const auto isKnown = [this](const std::string &id) { return m_knownInstances.contains(id); };
+    m_health.retain(isKnown);
+    m_speeds.retain(isKnown);
     for (const auto &[id, report] : instances) {
         const auto token = heldTokens.find(id);
         if (token == heldTokens.end())
@@ -568,10 +569,9 @@
     task.holder.clear();
     if (outcome.end == RunEnd::Done) {
         task.state = Task::State::Done;
-        const auto expected = expectedTime(job, job.job.steps[ref.step]);
-        task.sample = isLocal
-            ? addRunTime(job.rule.name, job.job.steps[ref.step], outcome, now)
-            : SpeedSample{outcome.instance, outcome.elapsedMs / std::max(1.0, expected.count())};
+        task.sample = sampleOf(job.rule.name, job.job.steps[ref.step], outcome);
+        if (isLocal)
+            addRunTime(job.rule.name, job.job.steps[ref.step], outcome, task.sample, now);
         ++job.done[ref.step];
         if (job.done[ref.step] == job.job.steps[ref.step].taskCount)
             addStepSpeeds(job.tasks[ref.step], now);
@@ -592,17 +592,23 @@
     }
 }
 
-SpeedSample RunScheduler::addRunTime(const std::string &queue, const JobStep &step,
-                                     const RunOutcome &outcome, Milliseconds now)
+SpeedSample RunScheduler::sampleOf(const std::string &queue, const JobStep &step,
+                                   const RunOutcome &outcome) const
 {
     const Milliseconds declared{double(step.estimatedMs)};
     const auto expected = std::max(Milliseconds{1}, m_runTimes.estimate(queue, declared));
-    const auto ratio = outcome.elapsedMs / expected.count();
+    return {outcome.instance, outcome.elapsedMs / expected.count()};
+}
+
+void RunScheduler::addRunTime(const std::string &queue, const JobStep &step,
+                              const RunOutcome &outcome, const SpeedSample &sample,
+                              Milliseconds now)
+{
     // An instance that is always slow is not disturbed, so it is compared with its own past.
     const auto factor = m_speeds.factor(outcome.instance);
-    m_health.onDone(outcome.instance, ratio / factor, now);
-    m_runTimes.addSample(queue, declared, Milliseconds{outcome.elapsedMs / factor});
-    return {outcome.instance, ratio};
+    m_health.onDone(outcome.instance, sample.ratio / factor, now);
+    m_runTimes.addSample(queue, Milliseconds{double(step.estimatedMs)},
+                         Milliseconds{outcome.elapsedMs / factor});
 }
 
 void RunScheduler::addStepSpeeds(const std::vector<Task> &tasks, Milliseconds now)
--- a/src/RunScheduler.h
+++ b/src/RunScheduler.h
@@ -402,9 +402,12 @@
                       Milliseconds now);
     /// The task whose current run has this key; nothing if there is none.
     [[nodiscard]] std::optional<TaskRef> findTask(const RunKey &key);
-    /// Learns from a run on an instance that is held here. @return what it shows of the instance.
-    SpeedSample addRunTime(const std::string &queue, const JobStep &step, const RunOutcome &outcome,
-                           Milliseconds now);
+    /// What a run that has succeeded shows of its instance, by what is known before it is learned.
+    [[nodiscard]] SpeedSample sampleOf(const std::string &queue, const JobStep &step,
+                                       const RunOutcome &outcome) const;
+    /// Learns from a run on an instance that is held here.
+    void addRunTime(const std::string &queue, const JobStep &step, const RunOutcome &outcome,
+                    const SpeedSample &sample, Milliseconds now);
     /// Learns the speeds of instances from a step whose tasks have all succeeded.
     void addStepSpeeds(const std::vector<Task> &tasks, Milliseconds now);
     /// The reason of a start for the log, with the run time factor that was assumed.
--- a/src/RunSchedulerOffers.cpp
+++ b/src/RunSchedulerOffers.cpp
@@ -260,7 +260,8 @@
     const auto run = std::move(m_acceptedRuns.extract(outcome.key).mapped());
     addRunEnd({}, outcome);
     if (outcome.end == RunEnd::Done) {
-        const auto sample = addRunTime(run.queue, run.step, outcome, now);
+        const auto sample = sampleOf(run.queue, run.step, outcome);
+        addRunTime(run.queue, run.step, outcome, sample, now);
         if (m_settings.learnsInstanceSpeeds)
             m_speeds.addStep({sample}, now);
     } else if (outcome.end == RunEnd::Failed) {
