Share queues, requests and event loops between tests

Five tests made the same queue, two fixtures and a test the same request and status functions, and three tests their own way to run an event loop. They use makeQueue(), makeRequest(), statusOf(), runBriefly() and pollUntil() now.

--- a/test/EntryFixture.h
+++ b/test/EntryFixture.h
@@ -32,17 +32,6 @@
                                         "  - name: book\n"
                                         "    runTimeMs: 20\n";
 
-inline HttpRequest makeRequest(const std::string &method, const std::string &target,
-                               std::string body = {}, HttpHeaders headers = {})
-{
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.body = std::move(body);
-    request.headers = std::move(headers);
-    return request;
-}
-
 /// Returns the response, or one with status 0 if there is none.
 inline HttpResponse responseOf(const Address &address, HttpRequest request)
 {
--- a/test/EventLoops.h
+++ b/test/EventLoops.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <initializer_list>
 
@@ -17,6 +18,13 @@
     io.poll();
 }
 
+/// Runs a loop for a few milliseconds, so that its timers pass.
+inline void runBriefly(boost::asio::io_context &io)
+{
+    io.restart();
+    io.run_for(std::chrono::milliseconds(10));
+}
+
 /// Polls the loops in turn until a condition holds. @return false after a time limit.
 [[nodiscard]] inline bool pollUntil(std::initializer_list<boost::asio::io_context *> loops,
                                     const std::function<bool()> &condition)
--- a/test/FleetModel.h
+++ b/test/FleetModel.h
@@ -30,6 +30,19 @@
     double lostStops = 0;
 };
 
+/// A queue of the service that the instances of FleetSimulation have.
+inline QueueRule makeQueue(const std::string &name)
+{
+    QueueRule rule;
+    rule.name = name;
+    rule.service = "service";
+    rule.timeoutMs = 1'500;
+    rule.targetMs = 60;
+    rule.stretch = 1.6;
+    rule.maxAttempts = 3;
+    return rule;
+}
+
 /// A job of one step.
 inline FleetJob makeJob(const std::string &id, const std::string &queue, std::uint32_t tasks,
                         std::uint32_t estimatedMs)
--- a/test/FleetProcesses.h
+++ b/test/FleetProcesses.h
@@ -31,22 +31,6 @@
     R"("service":"s","max_attempts":3,"stretch_factor":20}],"services":[{"name":"s"}],)"
     R"("limits":{}})";
 
-inline HttpRequest makeRequest(const std::string &method, const std::string &target,
-                               const std::string &body = {})
-{
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.body = body;
-    return request;
-}
-
-inline int statusOf(const HttpResult &result)
-{
-    const auto *response = std::get_if<HttpResponse>(&result);
-    return response == nullptr ? 0 : response->status;
-}
-
 /// Serves simulated instances over HTTP on a thread of its own.
 class SimulatedInstances
 {
--- a/test/TestProcess.h
+++ b/test/TestProcess.h
@@ -23,6 +23,8 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace Camphor::Testing {
@@ -138,6 +140,24 @@
     throw std::runtime_error("no free port");
 }
 
+inline HttpRequest makeRequest(const std::string &method, const std::string &target,
+                               std::string body = {}, HttpHeaders headers = {})
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = std::move(body);
+    request.headers = std::move(headers);
+    return request;
+}
+
+/// The status of a response; 0 if there is none.
+inline int statusOf(const HttpResult &result)
+{
+    const auto *response = std::get_if<HttpResponse>(&result);
+    return response == nullptr ? 0 : response->status;
+}
+
 /// Makes one blocking HTTP call.
 inline HttpResult callHttp(const Address &address, HttpRequest request,
                            Milliseconds timeout = Milliseconds{30'000})
--- a/test/correctness/ControlWatchTest.cpp
+++ b/test/correctness/ControlWatchTest.cpp
@@ -1,6 +1,7 @@
 /// @file An entry's long polls of control instances that start and stop.
 #include "ControlWatch.h"
 #include "DocumentHistory.h"
+#include "EventLoops.h"
 #include "RpcSupport.h"
 #include "TestProcess.h"
 #include "Wire.h"
@@ -97,12 +98,8 @@
     settings.seeds = {first.address.toString(), second.address.toString()};
     const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
     watch->start();
-    const auto poll = [&] {
-        io.restart();
-        io.run_for(std::chrono::milliseconds(10));
-    };
     REQUIRE(waitUntil([&] {
-        poll();
+        runBriefly(io);
         return first.waiting.size() + second.waiting.size() == 2;
     }));
     const std::string large(100'000, 'x');
@@ -111,12 +108,12 @@
         first.announce(version, text);
         second.announce(version, text);
         REQUIRE(waitUntil([&] {
-            poll();
+            runBriefly(io);
             return watch->view().documentVersion == version;
         }));
         CHECK(watch->view().documentContent == text);
         REQUIRE(waitUntil([&] {
-            poll();
+            runBriefly(io);
             return first.waiting.size() + second.waiting.size() == 2;
         }));
     }
@@ -144,19 +141,15 @@
     settings.addressRetention = Milliseconds{100};
     const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
     watch->start();
-    const auto poll = [&] {
-        io.restart();
-        io.run_for(std::chrono::milliseconds(10));
-    };
     CHECK(watch->sourceCount() == 3);
     CHECK(waitUntil([&] {
-        poll();
+        runBriefly(io);
         return watch->sourceCount() == 2;
     }));
     // Far longer than the time after which an address that neither the settings nor a member names
     // is removed.
     for (int n = 0; n < 40; ++n) {
-        poll();
+        runBriefly(io);
     }
     CHECK(watch->sourceCount() == 2);
     watch->stop();
@@ -186,8 +179,7 @@
     const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
     watch->start();
     REQUIRE(waitUntil([&] {
-        io.restart();
-        io.run_for(std::chrono::milliseconds(10));
+        runBriefly(io);
         return !watch->view().grants.empty();
     }));
     CHECK(watch->view().grants.size() == 1);
--- a/test/correctness/CrashingTaskTest.cpp
+++ b/test/correctness/CrashingTaskTest.cpp
@@ -16,11 +16,7 @@
 
 FleetConfiguration makeConfiguration()
 {
-    QueueRule rule;
-    rule.name = "queue";
-    rule.service = "service";
-    rule.targetMs = 60;
-    rule.stretch = 1.6;
+    auto rule = makeQueue("queue");
     rule.maxAttempts = 4;
     return {1, {rule}};
 }
--- a/test/correctness/DomainDrainTest.cpp
+++ b/test/correctness/DomainDrainTest.cpp
@@ -1,6 +1,7 @@
 /// @file Drains of failure domains: the replicated order, its distribution, and the scheduler.
 #include "ControlState.h"
 #include "ControlWatch.h"
+#include "EventLoops.h"
 #include "FleetModel.h"
 #include "FleetProcesses.h"
 #include "RpcSupport.h"
@@ -13,19 +14,7 @@
 
 namespace {
 
-FleetConfiguration makeConfiguration()
-{
-    FleetConfiguration configuration;
-    configuration.version = 1;
-    QueueRule rule;
-    rule.name = "queue";
-    rule.service = "service";
-    rule.targetMs = 60;
-    rule.stretch = 1.6;
-    rule.maxAttempts = 3;
-    configuration.queues.push_back(rule);
-    return configuration;
-}
+FleetConfiguration makeConfiguration() { return {1, {makeQueue("queue")}}; }
 
 int orderDrain(const Address &control, const std::string &method, const std::string &domain,
                Milliseconds timeout = Milliseconds{2'000})
@@ -170,16 +159,12 @@
     settings.seeds = {lagging.toString(), current.toString()};
     const auto watch = std::make_shared<ControlWatch>(io, settings, [] { });
     watch->start();
-    const auto poll = [&] {
-        io.restart();
-        io.run_for(std::chrono::milliseconds(10));
-    };
     REQUIRE(waitUntil([&] {
-        poll();
+        runBriefly(io);
         return watch->view().drains.revision == 5;
     }));
     for (int n = 0; n < 20; ++n) {
-        poll();
+        runBriefly(io);
         CHECK(watch->view().drains.contains("north"));
     }
     watch->stop();
--- a/test/correctness/HttpDisconnectTest.cpp
+++ b/test/correctness/HttpDisconnectTest.cpp
@@ -1,8 +1,8 @@
 /// @file Connections of an HTTP client that end, because the process at their address may be
 /// another one afterwards.
+#include "EventLoops.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
-#include "TestProcess.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,16 +42,10 @@
     /// The process at the address ends and another one starts, before the client runs again.
     void restartServer()
     {
-        const auto runServerUntil = [this](const std::function<bool()> &condition) {
-            return waitUntil([&] {
-                poll(serverIo);
-                return condition();
-            });
-        };
         server->stopAccepting();
-        REQUIRE(runServerUntil([&] { return !server->isAccepting(); }));
+        REQUIRE(pollUntil({&serverIo}, [&] { return !server->isAccepting(); }));
         server->closeIdleConnections();
-        REQUIRE(runServerUntil([&] { return server->connections() == 0; }));
+        REQUIRE(pollUntil({&serverIo}, [&] { return server->connections() == 0; }));
         startServer();
     }
 
@@ -67,19 +61,9 @@
         return result;
     }
 
-    bool runUntil(const std::function<bool()> &condition)
+    [[nodiscard]] bool runUntil(const std::function<bool()> &condition)
     {
-        return waitUntil([&] {
-            poll(clientIo);
-            poll(serverIo);
-            return condition();
-        });
-    }
-
-    static void poll(boost::asio::io_context &io)
-    {
-        io.restart();
-        io.poll();
+        return pollUntil({&clientIo, &serverIo}, condition);
     }
 
     boost::asio::io_context clientIo;
--- a/test/correctness/InstanceSpeedsTest.cpp
+++ b/test/correctness/InstanceSpeedsTest.cpp
@@ -48,21 +48,7 @@
     std::mt19937_64 m_random{7};
 };
 
-FleetConfiguration makeConfiguration()
-{
-    FleetConfiguration configuration;
-    configuration.version = 1;
-    for (const auto *name : {"short", "long"}) {
-        QueueRule rule;
-        rule.name = name;
-        rule.service = "service";
-        rule.targetMs = 60;
-        rule.stretch = 1.6;
-        rule.maxAttempts = 3;
-        configuration.queues.push_back(rule);
-    }
-    return configuration;
-}
+FleetConfiguration makeConfiguration() { return {1, {makeQueue("short"), makeQueue("long")}}; }
 
 SchedulerSettings makeSettings(bool learns)
 {
--- a/test/correctness/MemoryBudgetTest.cpp
+++ b/test/correctness/MemoryBudgetTest.cpp
@@ -68,10 +68,7 @@
 
     HttpResult call() const
     {
-        HttpRequest request;
-        request.method = "POST";
-        request.target = "/";
-        request.body = std::string(600, 'x');
+        auto request = makeRequest("POST", "/", std::string(600, 'x'));
         request.headers["host"] = "h.example";
         return callHttp(settings.listen, request);
     }
--- a/test/correctness/ResubmissionTest.cpp
+++ b/test/correctness/ResubmissionTest.cpp
@@ -29,20 +29,7 @@
 constexpr double FaultAtMs = 200;
 constexpr double EndMs = 6'000;
 
-FleetConfiguration makeConfiguration()
-{
-    QueueRule rule;
-    rule.name = "queue";
-    rule.service = "service";
-    rule.timeoutMs = 1'500;
-    rule.targetMs = 60;
-    rule.stretch = 1.6;
-    rule.maxAttempts = 3;
-    FleetConfiguration configuration;
-    configuration.version = 1;
-    configuration.queues.push_back(rule);
-    return configuration;
-}
+FleetConfiguration makeConfiguration() { return {1, {makeQueue("queue")}}; }
 
 FleetFaults makeFaults(double lostStops)
 {
--- a/test/correctness/RunSchedulerTest.cpp
+++ b/test/correctness/RunSchedulerTest.cpp
@@ -17,15 +17,9 @@
     FleetConfiguration configuration;
     configuration.version = 1;
     for (const auto *name : {"quick", "long", "pair"}) {
-        QueueRule rule;
-        rule.name = name;
+        auto rule = makeQueue(name);
         rule.host = "host";
         rule.pathPrefix = std::string("/") + name + "/";
-        rule.service = "service";
-        rule.timeoutMs = 1'500;
-        rule.targetMs = 60;
-        rule.stretch = 1.6;
-        rule.maxAttempts = 3;
         configuration.queues.push_back(rule);
     }
     return configuration;
--- a/test/correctness/StandInTargetTest.cpp
+++ b/test/correctness/StandInTargetTest.cpp
@@ -78,12 +78,6 @@
 
 const StandInTask Task{"t-1", Milliseconds{5}, 2'000};
 
-int statusOf(const HttpResult &result)
-{
-    const auto *response = std::get_if<HttpResponse>(&result);
-    return response == nullptr ? 0 : response->status;
-}
-
 } // namespace
 
 // Guards against a target whose responses the caller can't verify, and against unlogged starts.
