Release the large buffer of a connection with its request

Cause: found while the change was read once more. A request is charged to the memory budget until its response is written, but the buffer of its connection, up to 32 KiB, stayed for as long as the connection was idle, and was charged to nobody. 2,200 connections of an entry with 120 MB could keep 70 MB so.

Change: a buffer of more than 4 KiB is released once its request is complete. No limit and no response changes.

Evidence: by reading; no test of its own, since no bound on a process's memory showed it with a small crowd. [http], [memory], [entry] and [hostile] pass.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -269,7 +269,7 @@
             return;
         }
         // A small request stays small: its buffer does not grow for bytes that may never arrive.
-        const bool isSmall = m_memory.bytes() <= SmallReadBytes * 2;
+        const bool isSmall = m_memory.bytes() <= SmallBufferBytes;
         const auto free =
             m_buffer.prepare(std::min(room, isSmall ? SmallReadBytes : LargeReadBytes));
         if (!reserveMemory())
@@ -323,6 +323,9 @@
         m_stream.expires_never();
         auto request = std::exchange(m_request, {});
         request.body = std::move(m_parser->get().body());
+        // The buffer lives as long as the connection, and is not charged while that is idle.
+        if (m_buffer.size() == 0 && m_buffer.capacity() > SmallBufferBytes)
+            m_buffer.shrink_to_fit();
         m_isHandling = true;
         if (m_state->settings.detectsDisconnects) {
             m_caller = std::make_shared<CallerConnection>([weak = weak_from_this()] {
@@ -524,8 +527,10 @@
     /// Enough for a typical request. The buffer stays allocated while a request is queued, so it is
     /// a large part of the memory that one queued request needs.
     static constexpr std::size_t ReadBytes = 1024;
-    /// Read at a time once a request has begun, while it is small and after that.
+    /// Read at a time once a request has begun, while it takes no more than SmallBufferBytes and
+    /// after that. An idle connection keeps no larger buffer.
     static constexpr std::size_t SmallReadBytes = std::size_t{2} * 1024;
+    static constexpr std::size_t SmallBufferBytes = 2 * SmallReadBytes;
     static constexpr std::size_t LargeReadBytes = std::size_t{16} * 1024;
     /// What the buffer may hold beside a header. Trailers and the header of a chunk, with its
     /// extensions, must fit into it, because the parser needs them whole.
