--- a/review/13/case.py
+++ b/review/13/case.py
@@ -25,7 +25,8 @@
         if not operator.change(3, 10):
             raise f.CannotRun("the first configuration was not acknowledged")
         for n, port in enumerate(f.free_ports([fleet.worker_ip], 4)):
-            workers.append(w.Worker(fleet, "i-%d" % n, "ga-south-a", port, lambda task, run: (100.0, "done")))
+            workers.append(w.Worker(fleet, "i-%d" % n, "ga-south-a", port,
+                                    lambda task, run: (100.0, "done")))
         time.sleep(4.0)
         w.await_ready(fleet)
         host = "Ficu95.Example" if has_trouble else "ficu95.example"
