Compare hosts by one canonical form

Cause: the host of a request was changed to lower case and the host of the configuration wasn't, so that one with capital letters matched nothing.

Change: canonicalHost() gives the one form (lower case, no port, no dot of the root domain) for requests, for the configuration that an entry puts in force, and for the check for two routes of one place.

--- a/src/FleetEntry.cpp
+++ b/src/FleetEntry.cpp
@@ -1,6 +1,7 @@
 #include "FleetEntry.h"
 
 #include "AsioSupport.h"
+#include "HostName.h"
 #include "Log.h"
 #include "RpcDecode.h"
 #include "Wire.h"
@@ -171,7 +172,10 @@
             .kv("reason", configuration.error().message);
         return;
     }
-    m_configuration = std::make_shared<const FleetConfiguration>(std::move(configuration).value());
+    auto inForce = std::move(configuration).value();
+    for (auto &queue : inForce.queues)
+        queue.host = canonicalHost(queue.host);
+    m_configuration = std::make_shared<const FleetConfiguration>(std::move(inForce));
     m_scheduler.configure(m_configuration);
     Log::info(LogEvent::ConfigurationInForce)
         .kv("version", m_configuration->version)
--- a/test/FleetProcesses.h
+++ b/test/FleetProcesses.h
@@ -313,13 +313,14 @@
     }
 
     int submitTo(const std::string &prefix, std::size_t entry, const std::string &jobId,
-                 Milliseconds timeout = Milliseconds{10'000}, int tasks = 3) const
+                 Milliseconds timeout = Milliseconds{10'000}, int tasks = 3,
+                 const std::string &host = "h.example") const
     {
         auto request = makeRequest("POST", prefix + jobId,
                                    R"({"spec":"x","best_effort":true,"phases":[{"count":)"
                                        + std::to_string(tasks)
                                        + R"(,"cpu":14000,"mem_mb":64,"estimated_ms":50}]})");
-        request.headers["host"] = "h.example";
+        request.headers["host"] = host;
         return statusOf(callHttp(callers[entry], request, timeout));
     }
 
--- a/test/error/PlatformMessageErrorTest.cpp
+++ b/test/error/PlatformMessageErrorTest.cpp
@@ -62,6 +62,9 @@
                  Row{R"("version":7)", R"("version":"7")"}, Row{R"("host":"h.example",)", ""},
                  Row{R"("routes":[{)",
                      R"("routes":[{"name":"r-0","host":"h.example","path_prefix":"/p/",)"
+                     R"("timeout_ms":5,"service":"s"},{)"},
+                 Row{R"("routes":[{)",
+                     R"("routes":[{"name":"r-0","host":"H.Example","path_prefix":"/p/",)"
                      R"("timeout_ms":5,"service":"s"},{)"});
     CAPTURE(row.from, row.to);
     CHECK_FALSE(decodeConfiguration(replaced(Configuration, row.from, row.to)));
