Let no voter go while a leader that has just started may miss candidates

It now answers so only after the time for which a candidate counts as available. Test in GroupMembershipTest.

--- a/src/FleetControl.cpp
+++ b/src/FleetControl.cpp
@@ -151,6 +151,7 @@
 
 Status FleetControl::open()
 {
+    m_startedAt = m_clock.now();
     if (const auto status = openMember(); !status)
         return status;
     RpcSettings settings = m_rpcSettings;
--- a/src/FleetControl.h
+++ b/src/FleetControl.h
@@ -165,6 +165,7 @@
     std::shared_ptr<RpcServer> m_rpc;
     RpcSettings m_rpcSettings;
     SteadyClock m_clock;
+    Milliseconds m_startedAt{0};
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_reopenTimer;
     FleetMetrics m_metrics;
--- a/src/FleetControlMembership.cpp
+++ b/src/FleetControlMembership.cpp
@@ -172,6 +172,7 @@
             m_candidates,
             leaving,
             [this](const std::string &member) { return m_node->lastReply(member); },
+            m_startedAt,
             now};
 }
 
--- a/src/GroupMembership.cpp
+++ b/src/GroupMembership.cpp
@@ -133,6 +133,9 @@
     const auto *member = view.group.find(leaving);
     if (member == nullptr)
         return true;
+    // A leader that has just started may not know a candidate yet.
+    if (view.now - view.observedSince < settings.candidateTimeout)
+        return false;
     return member->isVoter && view.group.voterCount() <= settings.voters
         && findLearner(view.group) == nullptr && availableCandidates(view, settings).empty();
 }
--- a/src/GroupMembership.h
+++ b/src/GroupMembership.h
@@ -54,6 +54,7 @@
     const std::set<std::string> &leaving;
     /// Time of a member's last reply to the leader.
     std::function<Milliseconds(const std::string &)> lastReply;
+    Milliseconds observedSince; ///< Start of this process: candidates may have called it since.
     Milliseconds now;
 };
 
--- a/test/correctness/GroupMembershipGeneratedTest.cpp
+++ b/test/correctness/GroupMembershipGeneratedTest.cpp
@@ -319,6 +319,7 @@
                 m_candidates,
                 leaving,
                 [&core](const std::string &name) { return core.lastReply(name); },
+                Milliseconds{0},
                 m_sim.now()};
     }
 
--- a/test/correctness/GroupMembershipTest.cpp
+++ b/test/correctness/GroupMembershipTest.cpp
@@ -25,6 +25,7 @@
     std::map<std::string, MemberCandidate> candidates;
     std::set<std::string> leaving;
     std::map<std::string, Milliseconds> replies;
+    Milliseconds startedAt{0};
     Milliseconds now{20'000};
 
     Group()
@@ -44,6 +45,7 @@
                     const auto it = replies.find(name);
                     return it == replies.end() ? Milliseconds{-1e18} : it->second;
                 },
+                startedAt,
                 now};
     }
     [[nodiscard]] MembershipStep next() const { return nextMembershipStep(view(), {}); }
@@ -200,6 +202,13 @@
         world.now += Milliseconds{3'000};
         CHECK(world.mayLeave("c"));
     }
+    SECTION("it waits while a leader that has just started may not know the candidates")
+    {
+        world.leaving = {"c"};
+        world.startedAt = world.now - Milliseconds{300};
+        CHECK_FALSE(world.mayLeave("c"));
+        CHECK(world.mayLeave("d"));
+    }
     SECTION("a candidate does not wait, but a learner is removed first")
     {
         // Guards against a learner that has ended and keeps the next candidate waiting.
