--- a/src/FleetTypes.h
+++ b/src/FleetTypes.h
@@ -141,8 +141,8 @@
 
     auto operator<=>(const FleetConfiguration &) const = default;
 
-    /// The queue whose host is equal and whose path prefix is the longest that the path begins with.
-    /// Both hosts must be canonical, see canonicalHost().
+    /// The queue whose host is equal and whose path prefix is the longest that the path begins
+    /// with. Both hosts must be canonical, see canonicalHost().
     [[nodiscard]] const QueueRule *route(std::string_view host, std::string_view path) const;
     [[nodiscard]] const QueueRule *find(std::string_view name) const;
 
