--- a/test/correctness/GroupMembershipTest.cpp
+++ b/test/correctness/GroupMembershipTest.cpp
@@ -22,6 +22,7 @@
     RaftConfiguration group{{makeMember("a", "10.0.0.1:1"), makeMember("b", "10.0.0.2:1"),
                              makeMember("c", "10.0.0.3:1")},
                             {}};
+    std::string leader = "a";
     std::map<std::string, MemberCandidate> candidates;
     std::set<std::string> leaving;
     std::map<std::string, Milliseconds> replies;
@@ -36,7 +37,6 @@
 
     [[nodiscard]] MembershipView view() const
     {
-        static const std::string leader = "a";
         return {group,
                 leader,
                 candidates,
--- a/test/correctness/PlannedEndTest.cpp
+++ b/test/correctness/PlannedEndTest.cpp
@@ -16,7 +16,7 @@
 /// Starts one more control instance, and waits until all founders know it.
 void addCandidate(Fleet &fleet)
 {
-    const auto name = fleet.addControl();
+    (void)fleet.addControl();
     for (const auto &founder : Founders)
         REQUIRE(waitUntil([&] { return fleet.hasLogLine(founder, {"candidate-heard"}); }));
 }
